--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds everything into build/ (or the folder in LW_BUILD).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${LW_BUILD:-build}
+if [ ! -f "$build/build.ninja" ]; then
+  cmake -S . -B "$build" -G Ninja >"${TMPDIR:-/tmp}/lw-cmake.$$.log" 2>&1 ||
+    { cat "${TMPDIR:-/tmp}/lw-cmake.$$.log"; exit 1; }
+fi
+ninja -C "$build" -k 20
--- /dev/null
+++ b/src/libs/config/statemachine.cpp
@@ -0,0 +1,162 @@
+#include "config/statemachine.h"
+
+#include "absl/strings/str_cat.h"
+#include "config/validation.h"
+
+#include <algorithm>
+#include <string>
+
+namespace Config {
+
+namespace {
+
+/// Outcomes kept for resends, oldest dropped first.
+constexpr int kMaxRecordedOutcomes = 4096;
+
+const lw::config::RecordedOutcome*
+FindOutcome(const lw::config::State& aState, const lw::config::Change& aChange)
+{
+  for (const lw::config::RecordedOutcome& outcome : aState.outcomes()) {
+    if (outcome.operator_id() == aChange.operator_id() &&
+        outcome.request_number() == aChange.request_number()) {
+      return &outcome;
+    }
+  }
+  return nullptr;
+}
+
+void
+RecordOutcome(lw::config::State& aState, const lw::config::Change& aChange)
+{
+  if (aState.outcomes_size() >= kMaxRecordedOutcomes) {
+    aState.mutable_outcomes()->DeleteSubrange(0, 1);
+  }
+  lw::config::RecordedOutcome* outcome = aState.add_outcomes();
+  outcome->set_operator_id(aChange.operator_id());
+  outcome->set_request_number(aChange.request_number());
+  outcome->set_version(aState.version());
+}
+
+int
+FindService(const lw::config::State& aState, const std::string& aName)
+{
+  for (int i = 0; i < aState.services_size(); ++i) {
+    if (aState.services(i).name() == aName) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+absl::Status
+CheckAddress(const lw::config::State& aState, const lw::config::Service& aService)
+{
+  for (const lw::config::Service& other : aState.services()) {
+    if (other.address() == aService.address() && other.name() != aService.name()) {
+      return absl::FailedPreconditionError(
+        absl::StrCat("address ", aService.address(), " belongs to service \"", other.name(), "\""));
+    }
+  }
+  for (const lw::config::RetiredAddress& retired : aState.retired_addresses()) {
+    if (retired.address() == aService.address()) {
+      return absl::FailedPreconditionError(
+        absl::StrCat("address ",
+                     aService.address(),
+                     " was removed in version ",
+                     retired.removed_in_version(),
+                     " and not all instances have confirmed it"));
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+PutService(lw::config::State& aState, const lw::config::Service& aService)
+{
+  const absl::Status address = CheckAddress(aState, aService);
+  if (!address.ok()) {
+    return address;
+  }
+  const uint64_t version = aState.version() + 1;
+  const int position = FindService(aState, aService.name());
+  if (position < 0) {
+    lw::config::Service* added = aState.add_services();
+    *added = aService;
+    added->set_generation(version);
+    return absl::OkStatus();
+  }
+  lw::config::Service* service = aState.mutable_services(position);
+  if (service->address() != aService.address() || service->kind() != aService.kind()) {
+    return absl::FailedPreconditionError(
+      absl::StrCat("address and kind of service \"",
+                   aService.name(),
+                   "\" cannot change; delete it and create it again"));
+  }
+  const uint64_t generation = service->generation();
+  *service = aService;
+  service->set_generation(generation);
+  return absl::OkStatus();
+}
+
+absl::Status
+DeleteService(lw::config::State& aState, const std::string& aName)
+{
+  const int position = FindService(aState, aName);
+  if (position < 0) {
+    return absl::FailedPreconditionError(absl::StrCat("service \"", aName, "\" does not exist"));
+  }
+  lw::config::RetiredAddress* retired = aState.add_retired_addresses();
+  retired->set_address(aState.services(position).address());
+  retired->set_removed_in_version(aState.version() + 1);
+  aState.mutable_services()->DeleteSubrange(position, 1);
+  return absl::OkStatus();
+}
+
+absl::Status
+ApplyAction(lw::config::State& aState, const lw::config::Change& aChange)
+{
+  if (aChange.has_put_service()) {
+    return PutService(aState, aChange.put_service());
+  }
+  return DeleteService(aState, aChange.delete_service());
+}
+
+} // namespace
+
+absl::StatusOr<Base::ConfigVersion>
+ApplyChange(lw::config::State& aState, const lw::config::Change& aChange)
+{
+  const absl::Status valid = ValidateChange(aChange);
+  if (!valid.ok()) {
+    return valid;
+  }
+  const lw::config::RecordedOutcome* outcome = FindOutcome(aState, aChange);
+  if (outcome != nullptr) {
+    return Base::ConfigVersion(outcome->version());
+  }
+  if (aChange.base_version() != aState.version()) {
+    return absl::AbortedError(absl::StrCat("change starts from version ",
+                                           aChange.base_version(),
+                                           ", the current version is ",
+                                           aState.version()));
+  }
+  const absl::Status applied = ApplyAction(aState, aChange);
+  if (!applied.ok()) {
+    return applied;
+  }
+  aState.set_version(aState.version() + 1);
+  RecordOutcome(aState, aChange);
+  return Base::ConfigVersion(aState.version());
+}
+
+absl::Status
+ApplyRevision(lw::config::State& aState, const lw::config::Revision& aRevision)
+{
+  if (aRevision.version() != aState.version() + 1) {
+    return absl::OutOfRangeError(absl::StrCat(
+      "revision ", aRevision.version(), " does not follow version ", aState.version()));
+  }
+  return ApplyChange(aState, aRevision.change()).status();
+}
+
+} // namespace Config
--- /dev/null
+++ b/src/libs/config/validation.cpp
@@ -0,0 +1,121 @@
+#include "config/validation.h"
+
+#include "absl/strings/str_cat.h"
+#include "base/endpoint.h"
+
+#include <set>
+#include <string>
+
+namespace Config {
+
+namespace {
+
+constexpr uint32_t kFullSharePermille = 1000;
+constexpr size_t kMaxNameLength = 64;
+
+absl::Status
+Wrong(const std::string& aPath, const std::string& aReason)
+{
+  return absl::InvalidArgumentError(absl::StrCat("field \"", aPath, "\" ", aReason));
+}
+
+absl::Status
+ValidateName(const std::string& aPath, const std::string& aName)
+{
+  if (aName.empty() || aName.size() > kMaxNameLength) {
+    return Wrong(aPath, absl::StrCat("must have 1 to ", kMaxNameLength, " characters"));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ValidateWorkKinds(const lw::config::Service& aService)
+{
+  std::set<std::string> names;
+  uint32_t total = 0;
+  for (int i = 0; i < aService.work_kinds_size(); ++i) {
+    const lw::config::WorkKind& kind = aService.work_kinds(i);
+    const std::string path = absl::StrCat("put_service.work_kinds[", i, "]");
+    const absl::Status name = ValidateName(path + ".name", kind.name());
+    if (!name.ok()) {
+      return name;
+    }
+    if (!names.insert(kind.name()).second) {
+      return Wrong(path + ".name", "stands twice");
+    }
+    if (kind.share_permille() > kFullSharePermille - total) {
+      return Wrong(path + ".share_permille", "takes the sum of the shares above 1000");
+    }
+    total += kind.share_permille();
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ValidateClients(const lw::config::Service& aService)
+{
+  std::set<std::string> names;
+  for (int i = 0; i < aService.clients_size(); ++i) {
+    const lw::config::ClientTerms& terms = aService.clients(i);
+    const std::string path = absl::StrCat("put_service.clients[", i, "]");
+    const absl::Status name = ValidateName(path + ".client", terms.client());
+    if (!name.ok()) {
+      return name;
+    }
+    if (!names.insert(terms.client()).second) {
+      return Wrong(path + ".client", "stands twice");
+    }
+    if (terms.ceiling_permille() > kFullSharePermille) {
+      return Wrong(path + ".ceiling_permille", "must be at most 1000");
+    }
+    if (terms.starting_share_permille() > terms.ceiling_permille()) {
+      return Wrong(path + ".starting_share_permille", "must not be above ceiling_permille");
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ValidateService(const lw::config::Service& aService)
+{
+  absl::Status status = ValidateName("put_service.name", aService.name());
+  if (!status.ok()) {
+    return status;
+  }
+  const absl::StatusOr<Base::Endpoint> address = Base::ParseEndpoint(aService.address());
+  if (!address.ok()) {
+    return Wrong("put_service.address", absl::StrCat("is wrong: ", address.status().message()));
+  }
+  if (aService.kind() != lw::config::OPAQUE && aService.kind() != lw::config::REQUEST) {
+    return Wrong("put_service.kind", "must be OPAQUE or REQUEST");
+  }
+  if (aService.generation() != 0) {
+    return Wrong("put_service.generation", "is set by the control instances");
+  }
+  status = ValidateWorkKinds(aService);
+  return status.ok() ? ValidateClients(aService) : status;
+}
+
+} // namespace
+
+absl::Status
+ValidateChange(const lw::config::Change& aChange)
+{
+  const absl::Status operatorId = ValidateName("operator_id", aChange.operator_id());
+  if (!operatorId.ok()) {
+    return operatorId;
+  }
+  if (aChange.request_number() == 0) {
+    return Wrong("request_number", "must be at least 1");
+  }
+  switch (aChange.action_case()) {
+    case lw::config::Change::kPutService:
+      return ValidateService(aChange.put_service());
+    case lw::config::Change::kDeleteService:
+      return ValidateName("delete_service", aChange.delete_service());
+    default:
+      return Wrong("action", "is missing");
+  }
+}
+
+} // namespace Config
--- /dev/null
+++ b/src/libs/membership/view.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/runtimeclock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Membership {
+
+enum class MemberState
+{
+  Alive,
+  /// Hands its work over and takes no new flows.
+  Leaving
+};
+
+/// An entry instance of the own availability zone.
+struct Member
+{
+  Base::InstanceId mId;
+  Base::Incarnation mIncarnation;
+  Base::Endpoint mPeerEndpoint;
+  MemberState mState = MemberState::Alive;
+  Base::ConfigVersion mVersionInForce;
+};
+
+enum class UpstreamState
+{
+  Active,
+  Draining
+};
+
+/// An upstream of the own availability zone with a running lease.
+struct Upstream
+{
+  Base::Endpoint mEndpoint;
+  std::string mService;
+  Base::ServiceGeneration mGeneration;
+  uint64_t mStartId = 0;
+  UpstreamState mState = UpstreamState::Active;
+  /// Requests that it runs at the same time.
+  uint32_t mSlots = 1;
+  /// Requests that it runs now, as it reports.
+  uint32_t mLoad = 0;
+  /// It gets no packet before this time, see the address reuse rule in docs/design.md.
+  Base::TimePoint mUsableFrom;
+  Base::TimePoint mLeaseEnd;
+};
+
+/// What an instance knows of its availability zone. Immutable once published.
+struct View
+{
+  Base::InstanceId mSelf;
+  Base::Incarnation mIncarnation;
+  /// Members by id, the own instance included.
+  std::vector<Member> mMembers;
+  /// Upstreams by endpoint.
+  std::vector<Upstream> mUpstreams;
+};
+
+/// \return the member with this id, or nullptr.
+const Member*
+FindMember(const View& aView, Base::InstanceId aId);
+
+/// \return the upstream with this endpoint in this service generation, or nullptr.
+const Upstream*
+FindUpstream(const View& aView,
+             const Base::Endpoint& aEndpoint,
+             Base::ServiceGeneration aGeneration);
+
+/// Selects by rendezvous hash, so that all instances with the same members agree without messages.
+/// \param aKey is hashed with each member's id.
+/// \return the selected alive member, or nullptr if there is none.
+const Member*
+RendezvousMember(const View& aView, uint64_t aKey);
+
+/// \return true if new work may be sent to the upstream now.
+bool
+TakesNewWork(const Upstream& aUpstream, Base::TimePoint aNow);
+
+/// \return true if packets of established flows may be sent to the upstream now.
+bool
+IsUsable(const Upstream& aUpstream, Base::TimePoint aNow);
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/metrics/registry.cpp
@@ -0,0 +1,103 @@
+#include "metrics/registry.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace Metrics {
+
+namespace {
+
+size_t
+ThreadNumber()
+{
+  static std::atomic<size_t> sNext{ 0 };
+  thread_local const size_t sNumber = sNext.fetch_add(1);
+  return sNumber;
+}
+
+std::string
+FamilyOf(const std::string& aName)
+{
+  return aName.substr(0, aName.find('{'));
+}
+
+template<typename Map>
+void
+AppendValues(const Map& aValues, const char* aType, std::string& aText)
+{
+  std::string lastFamily;
+  for (const auto& [name, value] : aValues) {
+    const std::string family = FamilyOf(name);
+    if (family != lastFamily) {
+      absl::StrAppend(&aText, "# TYPE ", family, " ", aType, "\n");
+      lastFamily = family;
+    }
+    absl::StrAppend(&aText, name, " ", value->Value(), "\n");
+  }
+}
+
+template<typename Map>
+auto&
+FindOrAdd(Map& aMap, const std::string& aName)
+{
+  auto& slot = aMap[aName];
+  if (slot == nullptr) {
+    slot = std::make_unique<typename Map::mapped_type::element_type>();
+  }
+  return *slot;
+}
+
+} // namespace
+
+void
+Counter::Add(uint64_t aCount)
+{
+  mShards[ThreadNumber() % kShards].mCount.fetch_add(aCount, std::memory_order_relaxed);
+}
+
+uint64_t
+Counter::Value() const
+{
+  uint64_t sum = 0;
+  for (const Shard& shard : mShards) {
+    sum += shard.mCount.load(std::memory_order_relaxed);
+  }
+  return sum;
+}
+
+void
+Gauge::Set(int64_t aValue)
+{
+  mValue = aValue;
+}
+
+int64_t
+Gauge::Value() const
+{
+  return mValue;
+}
+
+Counter&
+Registry::CounterFor(const std::string& aName)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return FindOrAdd(mCounters, aName);
+}
+
+Gauge&
+Registry::GaugeFor(const std::string& aName)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return FindOrAdd(mGauges, aName);
+}
+
+std::string
+Registry::PrometheusText() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::string text;
+  AppendValues(mCounters, "counter", text);
+  AppendValues(mGauges, "gauge", text);
+  return text;
+}
+
+} // namespace Metrics
--- /dev/null
+++ b/src/libs/metrics/registry.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Metrics {
+
+/// Monotonic counter. Each thread adds to a shard of its own, so that the packet path takes no lock
+/// and threads do not share a cache line.
+class Counter
+{
+public:
+  void Add(uint64_t aCount = 1);
+
+  /// \return the sum over all shards.
+  uint64_t Value() const;
+
+private:
+  static constexpr size_t kShards = 16;
+  static constexpr size_t kCacheLineBytes = 64;
+  struct alignas(kCacheLineBytes) Shard
+  {
+    std::atomic<uint64_t> mCount{ 0 };
+  };
+  std::array<Shard, kShards> mShards;
+};
+
+/// Value that goes up and down.
+class Gauge
+{
+public:
+  void Set(int64_t aValue);
+  int64_t Value() const;
+
+private:
+  std::atomic<int64_t> mValue{ 0 };
+};
+
+/// Names the counters of a program. Look a counter up once and keep the reference; it stays valid
+/// for the life of the registry.
+class Registry
+{
+public:
+  /// \param aName in Prometheus form, with labels if any, for example
+  /// drops_total{reason="malformed"}.
+  Counter& CounterFor(const std::string& aName);
+  Gauge& GaugeFor(const std::string& aName);
+
+  /// \return all values in the Prometheus text format, sorted by name.
+  std::string PrometheusText() const;
+
+private:
+  mutable std::mutex mMutex;
+  std::map<std::string, std::unique_ptr<Counter>> mCounters;
+  std::map<std::string, std::unique_ptr<Gauge>> mGauges;
+};
+
+} // namespace Metrics
--- /dev/null
+++ b/tests/auto/membership/tst_view.cpp
@@ -0,0 +1,41 @@
+#include "membership/view.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+
+TEST_GROUP(View){};
+
+// Guards against an owner that changes for keys that a leaving member did not own.
+TEST(View, MovesOnlyTheKeysOfALeavingMember)
+{
+  Membership::View view;
+  for (uint32_t id = 1; id <= 5; ++id) {
+    Membership::Member member;
+    member.mId = Base::InstanceId(id);
+    view.mMembers.push_back(member);
+  }
+  Membership::View after = view;
+  after.mMembers[2].mState = Membership::MemberState::Leaving;
+  for (uint64_t key = 0; key < 1000; ++key) {
+    const Membership::Member* before = Membership::RendezvousMember(view, key);
+    const Membership::Member* now = Membership::RendezvousMember(after, key);
+    CHECK_TRUE(now->mId != Base::InstanceId(3));
+    CHECK_TRUE(before->mId == Base::InstanceId(3) || before->mId == now->mId);
+  }
+}
+
+// Guards against packets to an address before its hold time or after its lease.
+TEST(View, UsesAnUpstreamOnlyWithinItsLease)
+{
+  Membership::Upstream upstream;
+  const Base::TimePoint start(10s);
+  upstream.mUsableFrom = start + 6s;
+  upstream.mLeaseEnd = start + 11s;
+  CHECK_FALSE(Membership::IsUsable(upstream, start + 5999ms));
+  CHECK_TRUE(Membership::IsUsable(upstream, start + 6s));
+  CHECK_FALSE(Membership::IsUsable(upstream, start + 11s));
+  upstream.mState = Membership::UpstreamState::Draining;
+  CHECK_TRUE(Membership::IsUsable(upstream, start + 6s));
+  CHECK_FALSE(Membership::TakesNewWork(upstream, start + 6s));
+}
--- /dev/null
+++ b/tests/auto/settings/tst_reader.cpp
@@ -0,0 +1,88 @@
+#include "base/random.h"
+#include "settings/reader.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+absl::Status
+Read(const std::string& aText)
+{
+  absl::StatusOr<std::shared_ptr<Settings::Document>> document = Settings::ParseDocument(aText);
+  if (!document.ok()) {
+    return document.status();
+  }
+  Settings::Reader reader(*document);
+  reader.String("name");
+  reader.Integer("count", { 1, 10 });
+  reader.Endpoint("listen");
+  for (Settings::Reader& item : reader.Objects("items")) {
+    item.String("key");
+    item.Finish().IgnoreError();
+  }
+  return reader.Finish();
+}
+
+constexpr const char* kValid =
+  R"({"name":"a","count":3,"listen":"127.0.0.1:1","items":[{"key":"x"}]})";
+
+struct Row
+{
+  const char* mCase;
+  const char* mText;
+  const char* mMessage;
+};
+
+} // namespace
+
+TEST_GROUP(Reader){};
+
+TEST(Reader, AcceptsValidSettings)
+{
+  CHECK_TRUE(Read(kValid).ok());
+}
+
+// Guards against settings errors that are ignored or that do not name the key.
+TEST(Reader, NamesThePathOfTheWrongKey)
+{
+  const Row rows[] = {
+    { "unknown key",
+      R"({"name":"a","count":3,"listen":"127.0.0.1:1","items":[],"extra":1})",
+      "setting \"extra\" is unknown" },
+    { "missing key",
+      R"({"count":3,"listen":"127.0.0.1:1","items":[]})",
+      "setting \"name\" is missing" },
+    { "wrong type",
+      R"({"name":1,"count":3,"listen":"127.0.0.1:1","items":[]})",
+      "setting \"name\" must be a string" },
+    { "out of range",
+      R"({"name":"a","count":11,"listen":"127.0.0.1:1","items":[]})",
+      "setting \"count\" must be from 1 to 10" },
+    { "beyond 64 bits signed",
+      R"({"name":"a","count":18446744073709551615,"listen":"127.0.0.1:1","items":[]})",
+      "setting \"count\" must be from 1 to 10" },
+    { "bad address",
+      R"({"name":"a","count":3,"listen":"127.0.0.1","items":[]})",
+      "setting \"listen\" is wrong: \"127.0.0.1\" is not an address a.b.c.d:port" },
+    { "nested unknown key",
+      R"({"name":"a","count":3,"listen":"127.0.0.1:1","items":[{"key":"x","y":1}]})",
+      "setting \"items[0].y\" is unknown" },
+    { "not an object", "[]", "settings must be a JSON object" },
+  };
+  for (const Row& row : rows) {
+    const absl::Status status = Read(row.mText);
+    CHECK_FALSE_TEXT(status.ok(), row.mCase);
+    STRCMP_EQUAL_TEXT(row.mMessage, std::string(status.message()).c_str(), row.mCase);
+  }
+}
+
+// Guards against a crash on damaged settings files.
+TEST(Reader, SurvivesDamagedText)
+{
+  Base::RandomSource random{ 20261204 };
+  for (int i = 0; i < 5000; ++i) {
+    std::string text = kValid;
+    text[Base::NextBelow(random, text.size())] = static_cast<char>(Base::NextBelow(random, 128));
+    Read(text).IgnoreError();
+  }
+}
