Distribute the configuration between entry instances

Cause: every entry instance polled a control instance, so control cost grew with the instances, and a cut-off availability zone could not learn a change from its own members. Now two relays of each availability zone ask the control instances; a new revision is pushed to three random peers at once, and an instance that sees a peer with a newer version pulls what it lacks. Revisions are applied forwards and without gaps only. An instance with a data directory keeps the newest state in a synced, checksummed file and starts from it.

Conclusion: control cost grows with availability zones instead of instances.

--- a/src/tools/entry/configfollower.cpp
+++ b/src/tools/entry/configfollower.cpp
@@ -1,27 +1,37 @@
 #include "configfollower.h"
 
 #include "absl/strings/str_cat.h"
-#include "config/statemachine.h"
+#include "distribution/statefile.h"
 
 #include <glog/logging.h>
 #include <zmq.hpp>
 
-#include <chrono>
-
 namespace Entry {
 
 namespace {
 
-constexpr std::chrono::milliseconds kPullInterval{ 200 };
 constexpr int kReplyTimeoutMs = 1000;
 
 } // namespace
 
-ConfigFollower::ConfigFollower(const EntrySettings& aSettings, Metrics::Registry& aMetrics)
+ConfigFollower::ConfigFollower(const EntrySettings& aSettings,
+                               uint64_t aSeed,
+                               PeerTransport& aTransport,
+                               const Base::Snapshot<Membership::View>& aView,
+                               Base::Snapshot<Config::ServiceIndex>& aServices,
+                               Metrics::Registry& aMetrics)
   : mSettings(aSettings)
+  , mTransport(aTransport)
+  , mView(aView)
+  , mServices(aServices)
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
-  , mServices(std::make_shared<Config::ServiceIndex>())
+  , mRefused(aMetrics.CounterFor("config_revisions_refused_total"))
+  , mRandom{ aSeed }
 {
+  mTransport.SetHandler(lw::peer::CONFIGURATION,
+                        [this](const PeerSender& aSender, absl::string_view aPayload) {
+                          HandlePeer(aSender, aPayload);
+                        });
 }
 
 ConfigFollower::~ConfigFollower()
@@ -32,44 +42,135 @@
 void
 ConfigFollower::Start()
 {
-  mThread = std::thread([this] { Run(); });
+  LoadFromDisk();
+  mThread = std::thread([this] { RunControlPulls(); });
 }
 
 void
 ConfigFollower::Stop()
 {
-  mStopping = true;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStopping = true;
+  }
+  mWakeUp.notify_all();
   if (mThread.joinable()) {
     mThread.join();
   }
 }
 
 void
-ConfigFollower::Run()
+ConfigFollower::LoadFromDisk()
+{
+  if (mSettings.mDataDirectory.empty()) {
+    LOG(INFO) << "[config] No data directory; the configuration comes from control or peers.";
+    return;
+  }
+  const absl::StatusOr<lw::config::State> state =
+    Distribution::ReadStateFile(mSettings.mDataDirectory);
+  if (!state.ok()) {
+    // The control instances hold the truth, so a damaged copy is replaced and not repaired.
+    LOG(WARNING) << "[config] No configuration from disk: " << state.status().message() << ".";
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mFollower.mState = *state;
+  Publish();
+  LOG(INFO) << "[config] Version " << state->version() << " comes from disk.";
+}
+
+void
+ConfigFollower::Tick()
+{
+  const std::shared_ptr<const Membership::View> view = mView.Load();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Carry(
+    Distribution::Tick(mFollower, mFollowerSettings, *view, mRandom, Base::RuntimeClock::now()));
+}
+
+void
+ConfigFollower::HandlePeer(const PeerSender& aSender, absl::string_view aPayload)
+{
+  lw::distribution::Message message;
+  if (!message.ParseFromArray(aPayload.data(), static_cast<int>(aPayload.size()))) {
+    return;
+  }
+  const std::shared_ptr<const Membership::View> view = mView.Load();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Carry(Distribution::OnPeerMessage(mFollower,
+                                    mFollowerSettings,
+                                    *view,
+                                    aSender.mEndpoint,
+                                    message,
+                                    mRandom,
+                                    Base::RuntimeClock::now()));
+}
+
+void
+ConfigFollower::Carry(const Distribution::Effects& aEffects)
+{
+  if (aEffects.mStateChanged) {
+    Publish();
+    LOG(INFO) << "[config] Version " << mFollower.mState.version() << " is in force.";
+  }
+  if (!aEffects.mRefused.ok()) {
+    mRefused.Add();
+    LOG(WARNING) << "[config] Revision refused: " << aEffects.mRefused.message() << ".";
+  }
+  for (const auto& [peer, message] : aEffects.mToPeers) {
+    mTransport.Send(peer, lw::peer::CONFIGURATION, message.SerializeAsString());
+  }
+  if (aEffects.mPullFromControl) {
+    mPullWanted = true;
+    mWakeUp.notify_all();
+  }
+  if (aEffects.mStateChanged && !mSettings.mDataDirectory.empty()) {
+    const absl::Status written =
+      Distribution::WriteStateFile(mSettings.mDataDirectory, mFollower.mState);
+    LOG_IF(ERROR, !written.ok()) << "[config] " << written.message() << ".";
+  }
+}
+
+void
+ConfigFollower::Publish()
+{
+  mServices.Publish(Config::BuildServiceIndex(mFollower.mState));
+  mVersionGauge.Set(static_cast<int64_t>(mFollower.mState.version()));
+}
+
+void
+ConfigFollower::RunControlPulls()
 {
   zmq::context_t context;
   size_t next = mSettings.mInstance.mValue % mSettings.mControlFeeds.size();
+  std::unique_lock<std::mutex> lock(mMutex);
   while (!mStopping) {
+    mWakeUp.wait(lock, [this] { return mStopping || mPullWanted; });
+    if (mStopping) {
+      return;
+    }
+    mPullWanted = false;
+    lock.unlock();
     if (!PullFrom(&context, mSettings.mControlFeeds[next])) {
       next = (next + 1) % mSettings.mControlFeeds.size();
     }
-    std::this_thread::sleep_for(kPullInterval);
+    lock.lock();
   }
 }
 
 bool
 ConfigFollower::PullFrom(void* aContext, const Base::Endpoint& aFeed)
 {
+  lw::feed::PullRequest request;
+  {
+    const std::shared_ptr<const Membership::View> view = mView.Load();
+    const std::lock_guard<std::mutex> lock(mMutex);
+    request = Distribution::ControlPull(mFollower, mFollowerSettings, *view);
+  }
   zmq::socket_t socket(*static_cast<zmq::context_t*>(aContext), zmq::socket_type::req);
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::rcvtimeo, kReplyTimeoutMs);
   socket.connect(absl::StrCat("tcp://", Base::ToString(aFeed)));
-  lw::feed::PullRequest request;
-  request.set_after_version(mState.version());
-  lw::feed::InstanceReport* report = request.add_reports();
-  report->set_instance(mSettings.mInstance.mValue);
-  report->set_availability_zone(mSettings.mAvailabilityZone);
-  report->set_version_in_force(mState.version());
   socket.send(zmq::buffer(request.SerializeAsString()), zmq::send_flags::none);
   zmq::message_t message;
   if (!socket.recv(message)) {
@@ -80,33 +181,11 @@
     LOG(WARNING) << "[config] Control instance sent a malformed reply.";
     return false;
   }
-  Apply(reply);
+  const std::shared_ptr<const Membership::View> view = mView.Load();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Carry(Distribution::OnControlReply(
+    mFollower, mFollowerSettings, *view, reply, mRandom, Base::RuntimeClock::now()));
   return true;
 }
 
-void
-ConfigFollower::Apply(const lw::feed::PullReply& aReply)
-{
-  const uint64_t before = mState.version();
-  if (aReply.has_snapshot() && aReply.snapshot().version() > mState.version()) {
-    mState = aReply.snapshot();
-  }
-  for (const lw::config::Revision& revision : aReply.revisions()) {
-    if (revision.version() <= mState.version()) {
-      continue;
-    }
-    const absl::Status status = Config::ApplyRevision(mState, revision);
-    if (!status.ok()) {
-      LOG(ERROR) << "[config] Revision refused: " << status.message() << ".";
-      break;
-    }
-  }
-  if (mState.version() == before) {
-    return;
-  }
-  mServices.Publish(Config::BuildServiceIndex(mState));
-  mVersionGauge.Set(static_cast<int64_t>(mState.version()));
-  LOG(INFO) << "[config] Version " << mState.version() << " is in force.";
-}
-
 } // namespace Entry
--- a/src/tools/entry/configfollower.h
+++ b/src/tools/entry/configfollower.h
@@ -1,39 +1,62 @@
 #pragma once
 
+#include "base/random.h"
 #include "base/snapshot.h"
 #include "config/serviceindex.h"
+#include "distribution/follower.h"
 #include "entrysettings.h"
+#include "membership/view.h"
 #include "metrics/registry.h"
+#include "peertransport.h"
 
-#include "feed.pb.h"
-
-#include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <thread>
 
 namespace Entry {
 
-/// Pulls the configuration from the control instances, applies it in order and publishes it.
+/// Follows the configuration: pulls it from control instances or peers, publishes it and keeps it
+/// on disk.
 class ConfigFollower
 {
 public:
-  ConfigFollower(const EntrySettings& aSettings, Metrics::Registry& aMetrics);
+  ConfigFollower(const EntrySettings& aSettings,
+                 uint64_t aSeed,
+                 PeerTransport& aTransport,
+                 const Base::Snapshot<Membership::View>& aView,
+                 Base::Snapshot<Config::ServiceIndex>& aServices,
+                 Metrics::Registry& aMetrics);
   ~ConfigFollower();
 
+  /// Reads the configuration from disk, if there is one, and starts to follow.
   void Start();
   void Stop();
 
-  const Base::Snapshot<Config::ServiceIndex>& Services() const { return mServices; }
+  /// Called every 50 ms.
+  void Tick();
 
 private:
-  void Run();
+  void LoadFromDisk();
+  void HandlePeer(const PeerSender& aSender, absl::string_view aPayload);
+  void Carry(const Distribution::Effects& aEffects);
+  void Publish();
+  void RunControlPulls();
   bool PullFrom(void* aContext, const Base::Endpoint& aFeed);
-  void Apply(const lw::feed::PullReply& aReply);
 
   const EntrySettings& mSettings;
+  PeerTransport& mTransport;
+  const Base::Snapshot<Membership::View>& mView;
+  Base::Snapshot<Config::ServiceIndex>& mServices;
   Metrics::Gauge& mVersionGauge;
-  lw::config::State mState;
-  Base::Snapshot<Config::ServiceIndex> mServices;
-  std::atomic<bool> mStopping{ false };
+  Metrics::Counter& mRefused;
+  Distribution::FollowerSettings mFollowerSettings;
+
+  std::mutex mMutex;
+  std::condition_variable mWakeUp;
+  Base::RandomSource mRandom;
+  Distribution::Follower mFollower;
+  bool mPullWanted = false;
+  bool mStopping = false;
   std::thread mThread;
 };
 
--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -18,12 +18,13 @@
 Node::Node(const EntrySettings& aSettings, Base::Incarnation aIncarnation)
   : mSettings(aSettings)
   , mTransport(mContext, { aSettings.mInstance, aIncarnation, aSettings.mPeerListen }, mMetrics)
-  , mConfig(mSettings, mMetrics)
-  , mMembership(mContext, mSettings, aIncarnation, mTransport, mConfig.Services())
-  , mDatapath(mSettings, mConfig.Services(), mMembership.View(), mMetrics)
+  , mServices(std::make_shared<Config::ServiceIndex>())
+  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices)
+  , mConfig(mSettings, aIncarnation.mValue, mTransport, mMembership.View(), mServices, mMetrics)
+  , mDatapath(mSettings, mServices, mMembership.View(), mMetrics)
   , mPorts(MakePorts())
-  , mOpaque(mPorts, mMembership.View(), mConfig.Services(), mMetrics)
-  , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mConfig.Services(), mMetrics)
+  , mOpaque(mPorts, mMembership.View(), mServices, mMetrics)
+  , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mServices, mMetrics)
   , mAnnounce(mMembership)
   , mTimer(mContext)
 {
@@ -84,6 +85,7 @@
 void
 Node::Tick()
 {
+  mConfig.Tick();
   mOpaque.Tick();
   mRequests.Tick();
   mTimer.expires_after(kTickInterval);
--- a/src/tools/entry/node.h
+++ b/src/tools/entry/node.h
@@ -43,8 +43,9 @@
   Metrics::Registry mMetrics;
   boost::asio::io_context mContext{ 1 };
   PeerTransport mTransport;
-  ConfigFollower mConfig;
+  Base::Snapshot<Config::ServiceIndex> mServices;
   MembershipAgent mMembership;
+  ConfigFollower mConfig;
   Datapath mDatapath;
   PacketPorts mPorts;
   OpaquePath mOpaque;
