--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -26,6 +26,7 @@
   , mOpaque(mPorts, mMembership.View(), mServices, mMetrics)
   , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mServices, mMetrics)
   , mAnnounce(mMembership)
+  , mMetricsServer(mContext, mSettings.mMetricsListen, mMetrics)
   , mTimer(mContext)
 {
 }
@@ -73,6 +74,7 @@
     return listening;
   }
   mConfig.Start();
+  mMetricsServer.Start();
   mTransport.Start();
   mMembership.Start();
   mDatapath.Start(mOpaque, mRequests);
--- a/src/tools/entry/node.h
+++ b/src/tools/entry/node.h
@@ -7,6 +7,7 @@
 #include "entrysettings.h"
 #include "membershipagent.h"
 #include "metrics/registry.h"
+#include "metricsserver.h"
 #include "opaquepath.h"
 #include "packetports.h"
 #include "peertransport.h"
@@ -51,6 +52,7 @@
   OpaquePath mOpaque;
   RequestPath mRequests;
   AnnounceService mAnnounce;
+  MetricsServer mMetricsServer;
   Timer mTimer;
   std::thread mThread;
 };
