--- a/scripts/localsystem.py
+++ b/scripts/localsystem.py
@@ -84,17 +84,63 @@
         self.entries = self._plan_entries(entries_per_zone)
         self.egress = self.ports.take()
         self.ingresses = {}
+        self.proxy = None
+        self.links = []
 
     def _plan_controls(self, count):
-        return [
+        controls = [
             {
                 "instance": number,
                 "availability_zone": self.zones[(number - 1) % len(self.zones)],
                 "operator_listen": self.ports.take(),
                 "feed_listen": self.ports.take(),
+                "peer_listen": self.ports.take(),
+                "data_directory": os.path.join(self.folder, f"control{number}.data"),
             }
             for number in range(1, count + 1)
         ]
+        for control in controls:
+            control["instances"] = [
+                {
+                    "instance": other["instance"],
+                    "peer_address": other["peer_listen"],
+                    "operator_address": other["operator_listen"],
+                }
+                for other in controls
+            ]
+        return controls
+
+    def put_proxy_between_controls(self, seed):
+        """Starts the fault proxy and routes each control instance's peer connections through it.
+
+        Call it before start_controls. Link "1-2" carries what instance 1 sends to instance 2.
+        """
+        links = []
+        self.links = []
+        for control in self.controls:
+            for other in control["instances"]:
+                if other["instance"] == control["instance"]:
+                    continue
+                name = f"{control['instance']}-{other['instance']}"
+                listen = self.ports.take()
+                links.append(f"{name}={listen}={other['peer_address']}")
+                other["peer_address"] = listen
+                self.links.append(name)
+        command = [
+            os.path.join(self.bin, "lw-faultproxy"),
+            f"--links={','.join(links)}",
+            f"--seed={seed}",
+        ]
+        self.proxy = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+
+    def proxy_command(self, line):
+        self.proxy.stdin.write(line + "\n")
+        self.proxy.stdin.flush()
+        answer = self.proxy.stdout.readline().strip()
+        if answer != "ok":
+            raise RuntimeError(f"fault proxy refused {line!r}: {answer!r}")
 
     def _plan_entries(self, per_zone):
         entries = []
@@ -131,6 +177,8 @@
         return f"--settings={path}"
 
     def start_controls(self):
+        for control in self.controls:
+            os.makedirs(control["data_directory"], exist_ok=True)
         return [
             self._run(
                 f"control{c['instance']}",
@@ -144,6 +192,8 @@
         processes = []
         for entry in self.entries:
             entry["egress"] = self.egress
+            if "data_directory" in entry:
+                os.makedirs(entry["data_directory"], exist_ok=True)
             name = f"entry{entry['instance']}"
             processes.append(self._run(name, "lw-entry", [self._settings_file(name, entry)]))
         return processes
@@ -209,4 +259,7 @@
         for process in reversed(self.processes):
             if process.popen.poll() is None:
                 codes[process.name] = process.terminate()
+        if self.proxy is not None:
+            self.proxy.stdin.close()
+            self.proxy.wait(10)
         return codes
