--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -177,6 +177,12 @@
     HandleVoteRequest(aNode, aContext, aMessage, output);
     return output;
   }
+  // A replica in an earlier term may grant a pre-vote: granting changes no term.
+  if (aMessage.has_vote_reply() && aMessage.vote_reply().pre_vote() &&
+      aMessage.vote_reply().granted()) {
+    HandleVoteReply(aNode, aContext, aMessage, output);
+    return output;
+  }
   if (aMessage.term() < aNode.mHardState.mTerm) {
     AnswerStaleLeader(aNode, aContext, aMessage, output);
     return output;
--- /dev/null
+++ b/tests/auto/consensus/tst_voting.cpp
@@ -0,0 +1,211 @@
+#include "consensus/node.h"
+
+#include <CppUTest/TestHarness.h>
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr uint64_t kOwn = 100;
+constexpr uint64_t kOther = 200;
+constexpr uint64_t kThird = 300;
+
+Consensus::Membership
+ThreeVoters()
+{
+  Consensus::Membership membership;
+  uint32_t instance = 0;
+  for (const uint64_t storage : { kOwn, kOther, kThird }) {
+    lw::consensus::Replica* replica = membership.add_replicas();
+    replica->set_instance(++instance);
+    replica->set_storage(storage);
+    replica->set_voter(true);
+  }
+  return membership;
+}
+
+} // namespace
+
+TEST_GROUP(Voting)
+{
+  Consensus::Settings mSettings;
+  Base::RandomSource mRandom{ 1 };
+  Base::TimePoint mNow;
+  Consensus::Node mNode;
+
+  void setup() override
+  {
+    mSettings.mSelf = Base::InstanceId(1);
+    for (uint32_t instance = 1; instance <= 3; ++instance) {
+      mSettings.mInstances.emplace_back(instance);
+    }
+    Consensus::Restored restored;
+    restored.mHardState = { Consensus::StorageId(kOwn), 3, Consensus::StorageId() };
+    Consensus::Entry first;
+    first.set_term(1);
+    first.set_index(1);
+    first.set_kind(lw::consensus::MEMBERSHIP);
+    *first.mutable_membership() = ThreeVoters();
+    Consensus::Entry second;
+    second.set_term(2);
+    second.set_index(2);
+    restored.mEntries = { first, second };
+    mNode = Consensus::Restore(Context(), restored);
+  }
+
+  Consensus::Context Context()
+  {
+    return { mNow, mSettings, mRandom };
+  }
+
+  Consensus::Message From(uint64_t aStorage, Consensus::Term aTerm)
+  {
+    Consensus::Message message;
+    message.set_from(static_cast<uint32_t>(aStorage / 100));
+    message.set_from_storage(aStorage);
+    message.set_to(1);
+    message.set_to_storage(kOwn);
+    message.set_term(aTerm);
+    return message;
+  }
+
+  Consensus::Output Vote(
+    uint64_t aStorage, Consensus::Term aTerm, uint64_t aLastIndex, Consensus::Term aLastTerm)
+  {
+    Consensus::Message message = From(aStorage, aTerm);
+    message.mutable_vote_request()->set_proposed_term(aTerm);
+    message.mutable_vote_request()->set_last_index(aLastIndex);
+    message.mutable_vote_request()->set_last_term(aLastTerm);
+    return Consensus::Receive(mNode, Context(), message);
+  }
+
+  bool IsGranted(const Consensus::Output& aOutput)
+  {
+    LONGS_EQUAL(1, aOutput.mMessages.size());
+    return aOutput.mMessages[0].vote_reply().granted();
+  }
+
+  /// Makes the node lead with the vote of another.
+  Consensus::Output Lead()
+  {
+    mNow = mNode.mElectionDeadline;
+    Consensus::Tick(mNode, Context());
+    for (const bool preVote : { true, false }) {
+      Consensus::Message message = From(kOther, preVote ? 3 : 4);
+      message.mutable_vote_reply()->set_pre_vote(preVote);
+      message.mutable_vote_reply()->set_proposed_term(4);
+      message.mutable_vote_reply()->set_granted(true);
+      Consensus::Output output = Consensus::Receive(mNode, Context(), message);
+      if (!preVote) {
+        return output;
+      }
+    }
+    return {};
+  }
+
+  Consensus::Output Synced(uint64_t aStorage, uint64_t aIndex, uint64_t aRound)
+  {
+    Consensus::Message message = From(aStorage, 4);
+    message.mutable_append_reply()->set_matched(true);
+    message.mutable_append_reply()->set_synced_index(aIndex);
+    message.mutable_append_reply()->set_round(aRound);
+    return Consensus::Receive(mNode, Context(), message);
+  }
+};
+
+// Guards against two votes in one term, also when the first one came before a restart.
+TEST(Voting, GrantsOneVoteInATermAndRecordsItFirst)
+{
+  const Consensus::Output first = Vote(kOther, 5, 2, 2);
+  CHECK_TRUE(IsGranted(first));
+  CHECK_TRUE(first.mHardState.has_value());
+  LONGS_EQUAL(5, first.mHardState->mTerm);
+  CHECK_TRUE(first.mHardState->mVotedFor == Consensus::StorageId(kOther));
+  CHECK_FALSE(IsGranted(Vote(kThird, 5, 9, 4)));
+  Consensus::Restored restored;
+  restored.mHardState = *first.mHardState;
+  mNode = Consensus::Restore(Context(), restored);
+  CHECK_FALSE(IsGranted(Vote(kThird, 5, 9, 4)));
+  CHECK_TRUE(IsGranted(Vote(kOther, 5, 9, 4)));
+}
+
+// Guards against a leader without the newest committed entries.
+TEST(Voting, RefusesCandidatesWhoseLogIsBehind)
+{
+  CHECK_FALSE(IsGranted(Vote(kOther, 5, 1, 2)));
+  CHECK_FALSE(IsGranted(Vote(kOther, 6, 7, 1)));
+  CHECK_TRUE(IsGranted(Vote(kOther, 7, 1, 3)));
+}
+
+// Guards against a vote for the lost replica being given by the empty one that replaced it.
+TEST(Voting, IgnoresMessagesForAnotherStorageId)
+{
+  Consensus::Message message = From(kOther, 9);
+  message.set_to_storage(kOwn + 1);
+  message.mutable_vote_request()->set_proposed_term(9);
+  message.mutable_vote_request()->set_last_index(9);
+  message.mutable_vote_request()->set_last_term(9);
+  CHECK_TRUE(Consensus::Receive(mNode, Context(), message).mMessages.empty());
+  LONGS_EQUAL(3, mNode.mHardState.mTerm);
+}
+
+// Guards against a deposed candidate that disturbs a leader which is alive.
+TEST(Voting, RefusesWhileItHearsTheLeader)
+{
+  Consensus::Message heartbeat = From(kOther, 3);
+  heartbeat.mutable_append();
+  Consensus::Receive(mNode, Context(), heartbeat);
+  CHECK_FALSE(IsGranted(Vote(kThird, 9, 9, 9)));
+  LONGS_EQUAL(3, mNode.mHardState.mTerm);
+  mNow += mSettings.mElectionTimeout;
+  CHECK_TRUE(IsGranted(Vote(kThird, 9, 9, 9)));
+}
+
+// Guards against the loss of an entry of an earlier term that a quorum holds but a later leader may
+// still replace.
+TEST(Voting, CommitsEarlierTermsOnlyUnderTheOwnTerm)
+{
+  Lead();
+  CHECK_TRUE(mNode.mRole == Consensus::Role::Leader);
+  Consensus::EntriesSynced(mNode, Context(), 3, 4);
+  CHECK_TRUE(Synced(kOther, 2, 0).mApply.empty());
+  LONGS_EQUAL(0, mNode.mCommit);
+  LONGS_EQUAL(3, Synced(kOther, 3, 0).mApply.size());
+}
+
+// Guards against the leader counting its own entry before its disk has it.
+TEST(Voting, LeaderCountsItselfOnlyOnceSynced)
+{
+  Lead();
+  Synced(kOther, 3, 0);
+  LONGS_EQUAL(0, mNode.mCommit);
+  Consensus::EntriesSynced(mNode, Context(), 3, 4);
+  LONGS_EQUAL(3, mNode.mCommit);
+}
+
+// Guards against a read that an earlier heartbeat round confirms, or that misses entries of the
+// leader before.
+TEST(Voting, ReadWaitsForALaterRoundAndTheOwnTerm)
+{
+  Lead();
+  Consensus::EntriesSynced(mNode, Context(), 3, 4);
+  CHECK_TRUE(Consensus::RequestRead(mNode, Context(), 7).mConfirmedReads.empty());
+  CHECK_TRUE(Synced(kOther, 2, 1).mConfirmedReads.empty());
+  LONGS_EQUAL(7, Synced(kOther, 3, 1).mConfirmedReads.at(0));
+  CHECK_TRUE(Consensus::RequestRead(mNode, Context(), 8).mConfirmedReads.empty());
+  CHECK_TRUE(Synced(kOther, 3, 1).mConfirmedReads.empty());
+  LONGS_EQUAL(8, Synced(kThird, 0, 2).mConfirmedReads.at(0));
+}
+
+// Guards against reads left waiting, and against a leader without a quorum that goes on.
+TEST(Voting, LeaderWithoutQuorumStepsDownAndFailsItsReads)
+{
+  Lead();
+  Consensus::EntriesSynced(mNode, Context(), 3, 4);
+  Consensus::RequestRead(mNode, Context(), 7);
+  mNow += mSettings.mElectionTimeout;
+  const Consensus::Output output = Consensus::Tick(mNode, Context());
+  CHECK_TRUE(mNode.mRole == Consensus::Role::Follower);
+  LONGS_EQUAL(7, output.mFailedReads.at(0));
+  LONGS_EQUAL(4, mNode.mHardState.mTerm);
+}
