--- a/scripts/localsystem.py
+++ b/scripts/localsystem.py
@@ -80,21 +80,32 @@
         self.zones = zones
         self.ports = PortPool()
         self.processes = []
-        self.controls = self._plan_controls(controls)
+        self.controls, self._control_links = self._plan_controls(controls)
         self.entries = self._plan_entries(entries_per_zone)
         self.egress = self.ports.take()
         self.ingresses = {}
 
     def _plan_controls(self, count):
-        return [
+        controls = [
             {
                 "instance": number,
                 "availability_zone": self.zones[(number - 1) % len(self.zones)],
                 "operator_listen": self.ports.take(),
                 "feed_listen": self.ports.take(),
+                "peer_listen": self.ports.take(),
+                "data_directory": os.path.join(self.folder, f"control{number}.data"),
             }
             for number in range(1, count + 1)
         ]
+        links = [
+            {
+                "instance": c["instance"],
+                "peer_address": c["peer_listen"],
+                "operator_address": c["operator_listen"],
+            }
+            for c in controls
+        ]
+        return controls, links
 
     def _plan_entries(self, per_zone):
         entries = []
@@ -135,7 +146,11 @@
             self._run(
                 f"control{c['instance']}",
                 "lw-control",
-                [self._settings_file(f"control{c['instance']}", c)],
+                [
+                    self._settings_file(
+                        f"control{c['instance']}", {**c, "instances": self._control_links}
+                    )
+                ],
             )
             for c in self.controls
         ]
--- a/src/libs/config/statemachine.cpp
+++ b/src/libs/config/statemachine.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// Outcomes kept for resends, oldest dropped first.
+/// Outcomes kept for the resends of one operator, oldest dropped first.
 constexpr int kMaxRecordedOutcomes = 4096;
+constexpr uint64_t kOutcomeLifetimeMs = 24ULL * 60 * 60 * 1000;
 
 const lw::config::RecordedOutcome*
 FindOutcome(const lw::config::State& aState, const lw::config::Change& aChange)
@@ -25,16 +26,42 @@
   return nullptr;
 }
 
+/// Drops outcomes that have expired and the oldest one of an operator that has too many.
 void
-RecordOutcome(lw::config::State& aState, const lw::config::Change& aChange)
+DropOutcomes(lw::config::State& aState, const std::string& aOperatorId, uint64_t aNowMs)
 {
-  if (aState.outcomes_size() >= kMaxRecordedOutcomes) {
-    aState.mutable_outcomes()->DeleteSubrange(0, 1);
+  const auto& outcomes = aState.outcomes();
+  const auto count = std::count_if(outcomes.begin(), outcomes.end(), [&](const auto& aOutcome) {
+    return aOutcome.operator_id() == aOperatorId;
+  });
+  bool dropOldest = count >= kMaxRecordedOutcomes;
+  const auto isDropped = [&](const lw::config::RecordedOutcome& aOutcome) {
+    if (aOutcome.accepted_at_ms() + kOutcomeLifetimeMs < aNowMs) {
+      return true;
+    }
+    const bool oldest = dropOldest && aOutcome.operator_id() == aOperatorId;
+    dropOldest = dropOldest && !oldest;
+    return oldest;
+  };
+  auto* kept = aState.mutable_outcomes();
+  int next = 0;
+  for (int i = 0; i < kept->size(); ++i) {
+    if (!isDropped(kept->Get(i))) {
+      kept->SwapElements(next++, i);
+    }
   }
+  kept->DeleteSubrange(next, kept->size() - next);
+}
+
+void
+RecordOutcome(lw::config::State& aState, const lw::config::Change& aChange, uint64_t aNowMs)
+{
+  DropOutcomes(aState, aChange.operator_id(), aNowMs);
   lw::config::RecordedOutcome* outcome = aState.add_outcomes();
   outcome->set_operator_id(aChange.operator_id());
   outcome->set_request_number(aChange.request_number());
   outcome->set_version(aState.version());
+  outcome->set_accepted_at_ms(aNowMs);
 }
 
 int
@@ -112,6 +139,29 @@
   return absl::OkStatus();
 }
 
+/// Releases the addresses that are still retired by the same removal.
+absl::StatusOr<Base::ConfigVersion>
+ReleaseAddresses(lw::config::State& aState, const lw::config::ReleasedAddresses& aReleased)
+{
+  auto* retired = aState.mutable_retired_addresses();
+  const int before = retired->size();
+  for (const lw::config::RetiredAddress& released : aReleased.addresses()) {
+    const auto found =
+      std::find_if(retired->begin(), retired->end(), [&](const lw::config::RetiredAddress& aItem) {
+        return aItem.address() == released.address() &&
+               aItem.removed_in_version() == released.removed_in_version();
+      });
+    if (found != retired->end()) {
+      retired->erase(found);
+    }
+  }
+  if (retired->size() == before) {
+    return absl::FailedPreconditionError("none of the addresses is retired");
+  }
+  aState.set_version(aState.version() + 1);
+  return Base::ConfigVersion(aState.version());
+}
+
 absl::Status
 ApplyAction(lw::config::State& aState, const lw::config::Change& aChange)
 {
@@ -124,12 +174,15 @@
 } // namespace
 
 absl::StatusOr<Base::ConfigVersion>
-ApplyChange(lw::config::State& aState, const lw::config::Change& aChange)
+ApplyChange(lw::config::State& aState, const lw::config::Change& aChange, uint64_t aAcceptedAtMs)
 {
   const absl::Status valid = ValidateChange(aChange);
   if (!valid.ok()) {
     return valid;
   }
+  if (aChange.has_release_addresses()) {
+    return ReleaseAddresses(aState, aChange.release_addresses());
+  }
   const lw::config::RecordedOutcome* outcome = FindOutcome(aState, aChange);
   if (outcome != nullptr) {
     return Base::ConfigVersion(outcome->version());
@@ -145,7 +198,7 @@
     return applied;
   }
   aState.set_version(aState.version() + 1);
-  RecordOutcome(aState, aChange);
+  RecordOutcome(aState, aChange, aAcceptedAtMs);
   return Base::ConfigVersion(aState.version());
 }
 
@@ -156,7 +209,7 @@
     return absl::OutOfRangeError(absl::StrCat(
       "revision ", aRevision.version(), " does not follow version ", aState.version()));
   }
-  return ApplyChange(aState, aRevision.change()).status();
+  return ApplyChange(aState, aRevision.change(), aRevision.accepted_at_ms()).status();
 }
 
 } // namespace Config
--- a/src/libs/config/statemachine.h
+++ b/src/libs/config/statemachine.h
@@ -12,8 +12,12 @@
 /// \return the version in which the change was accepted, now or at its first arrival; Aborted if
 /// its base version is not the current one; FailedPrecondition if it clashes with the state;
 /// InvalidArgument if a field is wrong.
+/// \param aAcceptedAtMs is the leader's time in milliseconds since 1970, by which recorded outcomes
+/// expire.
 absl::StatusOr<Base::ConfigVersion>
-ApplyChange(lw::config::State& aState, const lw::config::Change& aChange);
+ApplyChange(lw::config::State& aState,
+            const lw::config::Change& aChange,
+            uint64_t aAcceptedAtMs = 0);
 
 /// Applies an accepted revision at an instance that follows the configuration.
 /// \return OK, or OutOfRange if the revision is not the next one.
--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -16,7 +16,9 @@
 absl::Status
 Wrong(const std::string& aPath, const std::string& aReason)
 {
-  return absl::InvalidArgumentError(absl::StrCat("field \"", aPath, "\" ", aReason));
+  absl::Status status = absl::InvalidArgumentError(absl::StrCat("field \"", aPath, "\" ", aReason));
+  status.SetPayload(kFieldPathPayload, absl::Cord(aPath));
+  return status;
 }
 
 absl::Status
@@ -105,6 +107,13 @@
   if (!operatorId.ok()) {
     return operatorId;
   }
+  const bool ownChange = aChange.operator_id() == kControlOperatorId;
+  if (ownChange != aChange.has_release_addresses()) {
+    return Wrong("operator_id", "\"lw-control\" is for the release of addresses only");
+  }
+  if (ownChange) {
+    return absl::OkStatus();
+  }
   if (aChange.request_number() == 0) {
     return Wrong("request_number", "must be at least 1");
   }
--- a/src/libs/config/validation.h
+++ b/src/libs/config/validation.h
@@ -6,6 +6,12 @@
 
 namespace Config {
 
+/// Operator id of changes that the control instances propose themselves.
+constexpr char kControlOperatorId[] = "lw-control";
+
+/// Type of the status payload that holds the path of the wrong field.
+constexpr char kFieldPathPayload[] = "lacewingwalk/field-path";
+
 /// Checks the fields of a change apart from the present state.
 /// \return OK, or InvalidArgument that names the path of the wrong field.
 absl::Status
--- a/src/tools/control/configstore.cpp
+++ b/src/tools/control/configstore.cpp
@@ -1,77 +1,122 @@
 #include "configstore.h"
 
-#include "config/statemachine.h"
+#include <chrono>
+#include <utility>
 
 namespace Control {
 
 namespace {
 
-/// Followers that are further behind get the whole state.
-constexpr size_t kMaxRevisions = 256;
+/// An unchanged report is passed on this often, so that all control instances see it as recent.
+constexpr std::chrono::seconds kShareInterval{ 5 };
 
 } // namespace
 
+ConfigStore::ConfigStore()
+{
+  mReports.mSince = Base::RuntimeClock::now();
+}
+
 absl::StatusOr<Base::ConfigVersion>
-ConfigStore::Apply(const lw::config::Change& aChange)
+ConfigStore::ApplyCommand(const std::string& aCommand)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const uint64_t before = mState.version();
-  const absl::StatusOr<Base::ConfigVersion> version = Config::ApplyChange(mState, aChange);
-  if (!version.ok() || mState.version() == before) {
-    return version;
-  }
-  lw::config::Revision revision;
-  revision.set_version(mState.version());
-  *revision.mutable_change() = aChange;
-  mRevisions.push_back(revision);
-  if (mRevisions.size() > kMaxRevisions) {
-    mRevisions.pop_front();
+  return Config::ApplyCommand(mState, aCommand);
+}
+
+absl::Status
+ConfigStore::Load(const std::string& aState)
+{
+  absl::StatusOr<Config::LogState> state = Config::LoadLogState(aState);
+  if (!state.ok()) {
+    return state.status();
   }
-  return version;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mState = *std::move(state);
+  return absl::OkStatus();
+}
+
+std::string
+ConfigStore::Save() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return Config::SaveLogState(mState);
+}
+
+uint64_t
+ConfigStore::Version() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mState.mState.version();
 }
 
 lw::config::State
 ConfigStore::State() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mState;
+  return mState.mState;
 }
 
-std::deque<lw::config::Revision>
+lw::operator_api::HistoryReply
 ConfigStore::History(uint64_t aAfterVersion) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  std::deque<lw::config::Revision> newer;
-  for (const lw::config::Revision& revision : mRevisions) {
+  lw::operator_api::HistoryReply reply;
+  for (const lw::config::Revision& revision : mState.mRevisions) {
     if (revision.version() > aAfterVersion) {
-      newer.push_back(revision);
+      *reply.add_revisions() = revision;
     }
   }
-  return newer;
+  return reply;
 }
 
 lw::feed::PullReply
 ConfigStore::Pull(const lw::feed::PullRequest& aRequest)
 {
+  const Base::TimePoint now = Base::RuntimeClock::now();
   const std::lock_guard<std::mutex> lock(mMutex);
   for (const lw::feed::InstanceReport& report : aRequest.reports()) {
-    mReports[report.instance()] = { report, Base::RuntimeClock::now() };
-  }
-  lw::feed::PullReply reply;
-  const uint64_t after = aRequest.after_version();
-  if (after >= mState.version()) {
-    return reply;
+    Config::AddReport(mReports, report, now);
+    const auto shared = mShared.find(report.instance());
+    const bool fresh = shared != mShared.end() &&
+                       shared->second.mVersion == report.version_in_force() &&
+                       now - shared->second.mSent < kShareInterval;
+    if (!fresh) {
+      mToShare.insert(report.instance());
+    }
   }
-  if (mRevisions.empty() || mRevisions.front().version() > after + 1) {
-    *reply.mutable_snapshot() = mState;
-    return reply;
+  return Config::RevisionsAfter(mState, aRequest.after_version());
+}
+
+void
+ConfigStore::AddReports(const lw::consensus::Reports& aReports)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const lw::feed::InstanceReport& report : aReports.reports()) {
+    Config::AddReport(mReports, report, Base::RuntimeClock::now());
   }
-  for (const lw::config::Revision& revision : mRevisions) {
-    if (revision.version() > after) {
-      *reply.add_revisions() = revision;
-    }
+}
+
+lw::consensus::Reports
+ConfigStore::TakeReportsToShare()
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  lw::consensus::Reports reports;
+  for (const uint64_t instance : mToShare) {
+    const lw::feed::InstanceReport& report = mReports.mReports[instance].mReport;
+    *reports.add_reports() = report;
+    mShared[instance] = { report.version_in_force(), now };
   }
-  return reply;
+  mToShare.clear();
+  return reports;
+}
+
+lw::config::ReleasedAddresses
+ConfigStore::Releasable(Base::Duration aWindow) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return Config::ReleasableAddresses(mState.mState, mReports, Base::RuntimeClock::now(), aWindow);
 }
 
 void
@@ -79,8 +124,8 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const Base::TimePoint now = Base::RuntimeClock::now();
-  aReply.set_version(mState.version());
-  for (const auto& [id, report] : mReports) {
+  aReply.set_version(mState.mState.version());
+  for (const auto& [id, report] : mReports.mReports) {
     lw::operator_api::InstanceStatus* status = aReply.add_instances();
     status->set_instance(id);
     status->set_availability_zone(report.mReport.availability_zone());
--- a/src/tools/control/configstore.h
+++ b/src/tools/control/configstore.h
@@ -3,47 +3,63 @@
 #include "absl/status/statusor.h"
 #include "base/ids.h"
 #include "base/runtimeclock.h"
+#include "config/logstate.h"
 
 #include "config.pb.h"
+#include "consensus.pb.h"
 #include "feed.pb.h"
 #include "operator.pb.h"
 
 #include <deque>
 #include <map>
 #include <mutex>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace Control {
 
-/// The configuration in memory, with its recent revisions and the reports of the instances that
-/// follow it.
+/// The applied configuration and the reports of entry instances. The log thread writes the
+/// configuration; the feed and operators read it.
 class ConfigStore
 {
 public:
-  /// Applies an operator's change.
-  /// \return the version, or the errors of Config::ApplyChange.
-  absl::StatusOr<Base::ConfigVersion> Apply(const lw::config::Change& aChange);
+  ConfigStore();
 
-  lw::config::State State() const;
+  /// Applies a committed command.
+  absl::StatusOr<Base::ConfigVersion> ApplyCommand(const std::string& aCommand);
+  absl::Status Load(const std::string& aState);
+  std::string Save() const;
 
+  uint64_t Version() const;
+  lw::config::State State() const;
   /// Revisions after a version that are still kept, in order.
-  std::deque<lw::config::Revision> History(uint64_t aAfterVersion) const;
+  lw::operator_api::HistoryReply History(uint64_t aAfterVersion) const;
 
   /// Takes the reports of a pull and returns what the puller lacks.
   lw::feed::PullReply Pull(const lw::feed::PullRequest& aRequest);
+  /// Takes reports that another control instance received.
+  void AddReports(const lw::consensus::Reports& aReports);
+  /// \return reports of pulls that the other control instances do not have yet.
+  lw::consensus::Reports TakeReportsToShare();
+  /// \return retired addresses that may be used again.
+  lw::config::ReleasedAddresses Releasable(Base::Duration aWindow) const;
 
   void FillStatus(lw::operator_api::StatusReply& aReply) const;
 
 private:
-  struct Report
+  struct Shared
   {
-    lw::feed::InstanceReport mReport;
-    Base::TimePoint mReceived;
+    uint64_t mVersion = 0;
+    Base::TimePoint mSent;
   };
 
   mutable std::mutex mMutex;
-  lw::config::State mState;
-  std::deque<lw::config::Revision> mRevisions;
-  std::map<uint64_t, Report> mReports;
+  Config::LogState mState;
+  Config::ReportTable mReports;
+  /// Last report of each pulling instance that was passed on.
+  std::map<uint64_t, Shared> mShared;
+  std::set<uint64_t> mToShare;
 };
 
 } // namespace Control
--- a/src/tools/control/feedserver.cpp
+++ b/src/tools/control/feedserver.cpp
@@ -3,20 +3,33 @@
 #include "absl/strings/str_cat.h"
 
 #include <glog/logging.h>
-#include <zmq.hpp>
+#include <zmq_addon.hpp>
+
+#include <algorithm>
 
 namespace Control {
 
 namespace {
 
-/// How often the thread looks whether it should stop.
-constexpr int kReceiveTimeoutMs = 200;
+using std::chrono::milliseconds;
+
+/// How often the thread looks for a stop, and for a later version while pulls wait.
+constexpr milliseconds kIdlePoll{ 200 };
+constexpr milliseconds kWaitingPoll{ 20 };
+constexpr uint32_t kMaxWaitMs = 10000;
+/// Two relays in each of 17 availability zones wait; more than that is answered at once.
+constexpr size_t kMaxWaiting = 256;
+/// Identity, empty delimiter, request.
+constexpr size_t kFrames = 3;
+constexpr int64_t kMaxMessageBytes = 1024 * 1024;
 
 } // namespace
 
-FeedServer::FeedServer(ConfigStore& aStore, const Base::Endpoint& aListen)
+FeedServer::FeedServer(ConfigStore& aStore, const LogDriver& aLog, const Base::Endpoint& aListen)
   : mStore(aStore)
+  , mLog(aLog)
   , mListen(aListen)
+  , mSocket(mContext, zmq::socket_type::router)
 {
 }
 
@@ -25,10 +38,19 @@
   Stop();
 }
 
-void
+absl::Status
 FeedServer::Start()
 {
+  mSocket.set(zmq::sockopt::linger, 0);
+  mSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  try {
+    mSocket.bind(absl::StrCat("tcp://", Base::ToString(mListen)));
+  } catch (const zmq::error_t& error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", Base::ToString(mListen), ": ", error.what()));
+  }
   mThread = std::thread([this] { Run(); });
+  return absl::OkStatus();
 }
 
 void
@@ -43,25 +65,78 @@
 void
 FeedServer::Run()
 {
-  zmq::context_t context;
-  zmq::socket_t socket(context, zmq::socket_type::rep);
-  socket.set(zmq::sockopt::linger, 0);
-  socket.set(zmq::sockopt::rcvtimeo, kReceiveTimeoutMs);
-  socket.bind(absl::StrCat("tcp://", Base::ToString(mListen)));
   while (!mStopping) {
-    zmq::message_t message;
-    if (!socket.recv(message)) {
-      continue;
+    zmq::pollitem_t items[] = { { mSocket.handle(), 0, ZMQ_POLLIN, 0 } };
+    zmq::poll(items, 1, mWaiting.empty() ? kIdlePoll : kWaitingPoll);
+    if ((items[0].revents & ZMQ_POLLIN) != 0) {
+      Receive();
     }
+    AnswerWaiting();
+  }
+}
+
+void
+FeedServer::Receive()
+{
+  std::vector<zmq::message_t> frames;
+  while (zmq::recv_multipart(mSocket, std::back_inserter(frames), zmq::recv_flags::dontwait)) {
     lw::feed::PullRequest request;
-    lw::feed::PullReply reply;
-    if (request.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
-      reply = mStore.Pull(request);
+    const bool valid = frames.size() == kFrames &&
+                       request.ParseFromArray(frames[2].data(), static_cast<int>(frames[2].size()));
+    if (valid) {
+      HandlePull(frames[0].to_string(), request);
     } else {
       LOG(WARNING) << "[feed] Malformed pull ignored.";
     }
-    socket.send(zmq::buffer(reply.SerializeAsString()), zmq::send_flags::none);
+    frames.clear();
+  }
+}
+
+void
+FeedServer::HandlePull(const std::string& aPuller, const lw::feed::PullRequest& aRequest)
+{
+  const lw::feed::PullReply reply = mStore.Pull(aRequest);
+  const bool news = reply.has_snapshot() || reply.revisions_size() > 0;
+  if (!news && !mLog.IsConnected()) {
+    return; // Without an answer the puller turns to an instance that may know more.
   }
+  if (news || aRequest.wait_ms() == 0 || mWaiting.size() >= kMaxWaiting) {
+    Send(aPuller, reply);
+    return;
+  }
+  const milliseconds wait(std::min(aRequest.wait_ms(), kMaxWaitMs));
+  mWaiting.push_back({ aPuller, aRequest.after_version(), Base::RuntimeClock::now() + wait });
+}
+
+void
+FeedServer::AnswerWaiting()
+{
+  if (mWaiting.empty()) {
+    return;
+  }
+  const uint64_t version = mStore.Version();
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  for (auto pull = mWaiting.begin(); pull != mWaiting.end();) {
+    if (version <= pull->mAfterVersion && now < pull->mUntil) {
+      ++pull;
+      continue;
+    }
+    lw::feed::PullRequest request;
+    request.set_after_version(pull->mAfterVersion);
+    Send(pull->mPuller, mStore.Pull(request));
+    pull = mWaiting.erase(pull);
+  }
+}
+
+void
+FeedServer::Send(const std::string& aPuller, const lw::feed::PullReply& aReply)
+{
+  const std::string bytes = aReply.SerializeAsString();
+  const std::array<zmq::const_buffer, kFrames> frames{ zmq::buffer(aPuller),
+                                                       zmq::const_buffer(),
+                                                       zmq::buffer(bytes) };
+  // A puller that has gone is not an error.
+  static_cast<void>(zmq::send_multipart(mSocket, frames, zmq::send_flags::dontwait));
 }
 
 } // namespace Control
--- a/src/tools/control/feedserver.h
+++ b/src/tools/control/feedserver.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "base/endpoint.h"
+#include "base/runtimeclock.h"
 #include "configstore.h"
+#include "logdriver.h"
 
 #include <atomic>
+#include <list>
+#include <string>
 #include <thread>
 
 namespace Control {
@@ -12,17 +16,34 @@
 class FeedServer
 {
 public:
-  FeedServer(ConfigStore& aStore, const Base::Endpoint& aListen);
+  FeedServer(ConfigStore& aStore, const LogDriver& aLog, const Base::Endpoint& aListen);
   ~FeedServer();
 
-  void Start();
+  /// \return Unavailable if the address cannot be bound.
+  absl::Status Start();
   void Stop();
 
 private:
+  /// A pull that waits for a later version.
+  struct WaitingPull
+  {
+    std::string mPuller;
+    uint64_t mAfterVersion = 0;
+    Base::TimePoint mUntil;
+  };
+
   void Run();
+  void Receive();
+  void HandlePull(const std::string& aPuller, const lw::feed::PullRequest& aRequest);
+  void AnswerWaiting();
+  void Send(const std::string& aPuller, const lw::feed::PullReply& aReply);
 
   ConfigStore& mStore;
+  const LogDriver& mLog;
   Base::Endpoint mListen;
+  zmq::context_t mContext;
+  zmq::socket_t mSocket;
+  std::list<WaitingPull> mWaiting;
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
 };
--- /dev/null
+++ b/src/tools/control/logdriver.cpp
@@ -0,0 +1,454 @@
+#include "logdriver.h"
+
+#include "absl/strings/str_cat.h"
+#include "config/validation.h"
+#include "posixfiles.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <random>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Control {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A quarter of the shortest heartbeat interval that is in use by default.
+constexpr milliseconds kTickInterval{ 25 };
+constexpr milliseconds kReleaseInterval{ 1000 };
+constexpr milliseconds kHandOverLimit{ 2000 };
+/// Messages handled before timers and requests get their turn.
+constexpr int kMaxMessagesPerTurn = 256;
+/// Operators' calls in progress. 5,400 changes a day are far below it; it bounds the memory.
+constexpr size_t kMaxRequests = 1024;
+
+absl::Status
+NotLeading()
+{
+  return absl::UnavailableError("this control instance does not lead");
+}
+
+absl::Status
+LeadershipLost()
+{
+  return absl::UnavailableError(
+    "this control instance stopped leading; resend the change with the same request number");
+}
+
+uint64_t
+WallClockMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+LogDriver::LogDriver(const ControlSettings& aSettings, ConfigStore& aStore)
+  : mSettings(aSettings)
+  , mStore(aStore)
+{
+}
+
+LogDriver::~LogDriver()
+{
+  Stop();
+  if (mWakeDescriptor >= 0) {
+    close(mWakeDescriptor);
+  }
+}
+
+absl::Status
+LogDriver::Start()
+{
+  mWakeDescriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (mWakeDescriptor < 0) {
+    return absl::UnavailableError(absl::StrCat("eventfd: ", std::strerror(errno)));
+  }
+  std::vector<std::string> notices;
+  absl::StatusOr<Replication::Replica> replica =
+    Replication::OpenReplica(mSettings.mConsensus,
+                             PosixFiles(),
+                             mSettings.mDataDirectory,
+                             MakePorts(),
+                             Base::RandomSource{ RandomSeed() },
+                             Base::RuntimeClock::now(),
+                             notices);
+  for (const std::string& notice : notices) {
+    LOG(WARNING) << "[storage] " << notice << ".";
+  }
+  if (!replica.ok()) {
+    return replica.status();
+  }
+  mReplica = *std::move(replica);
+  try {
+    mPeers = std::make_unique<PeerSockets>(mContext, mSettings);
+  } catch (const zmq::error_t& error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", Base::ToString(mSettings.mPeerListen), ": ", error.what()));
+  }
+  PublishStatus();
+  mThread = std::thread([this] { Run(); });
+  return absl::OkStatus();
+}
+
+void
+LogDriver::Stop()
+{
+  mStopping = true;
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+ChangeOutcome
+LogDriver::Apply(const lw::config::Change& aChange, Base::Duration aLimit)
+{
+  return Submit(Config::MakeCommand(aChange, WallClockMs()), aLimit);
+}
+
+absl::Status
+LogDriver::ConfirmRead(Base::Duration aLimit)
+{
+  return Submit("", aLimit).mStatus;
+}
+
+ChangeOutcome
+LogDriver::Submit(std::string aCommand, Base::Duration aLimit)
+{
+  auto request = std::make_shared<Request>();
+  request->mCommand = std::move(aCommand);
+  std::future<ChangeOutcome> outcome = request->mPromise.get_future();
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mStopping || mRequests.size() >= kMaxRequests) {
+      return { absl::UnavailableError("this control instance is stopping or overloaded"), {}, 0 };
+    }
+    mRequests.push_back(request);
+  }
+  const uint64_t one = 1;
+  if (write(mWakeDescriptor, &one, sizeof(one)) < 0) {
+    LOG(WARNING) << "[control] Wake-up failed: " << std::strerror(errno) << ".";
+  }
+  if (outcome.wait_for(aLimit) != std::future_status::ready) {
+    return { absl::DeadlineExceededError(
+               "no outcome yet; resend the change with the same request number"),
+             {},
+             0 };
+  }
+  return outcome.get();
+}
+
+bool
+LogDriver::IsConnected() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mStatus.connected();
+}
+
+std::string
+LogDriver::LeaderAddress() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const ControlAddress& address : mSettings.mInstances) {
+    if (mStatus.connected() && address.mInstance == mLeader) {
+      return Base::ToString(address.mOperatorAddress);
+    }
+  }
+  return "";
+}
+
+void
+LogDriver::FillStatus(lw::operator_api::ControlStatus& aStatus) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aStatus = mStatus;
+}
+
+Replication::ReplicaPorts
+LogDriver::MakePorts()
+{
+  Replication::ReplicaPorts ports;
+  ports.mSend = [this](const Consensus::Message& aMessage) { mPeers->Send(aMessage); };
+  ports.mApply = [this](const Consensus::Entry& aEntry) { Apply(aEntry); };
+  ports.mLoadState = [this](const std::string& aState) { return mStore.Load(aState); };
+  ports.mSaveState = [this] { return mStore.Save(); };
+  ports.mFinishRead = [this](uint64_t aReadId, bool aConfirmed) {
+    FinishRead(aReadId, aConfirmed);
+  };
+  ports.mReportFailure = [this](const absl::Status& aStatus) {
+    mFailure = aStatus;
+    LOG(ERROR) << "[storage] " << aStatus.message() << ". Nothing is acknowledged any more.";
+  };
+  return ports;
+}
+
+void
+LogDriver::Run()
+{
+  while (!mDone) {
+    Wait();
+    ReceiveMessages();
+    TakeRequests();
+    if (Base::RuntimeClock::now() >= mNextTick) {
+      Tick();
+    }
+    FailWaitingUnlessLeader();
+    PublishStatus();
+  }
+}
+
+void
+LogDriver::Wait()
+{
+  zmq::pollitem_t items[] = {
+    { mPeers->Incoming().handle(), 0, ZMQ_POLLIN, 0 },
+    { nullptr, mWakeDescriptor, ZMQ_POLLIN, 0 },
+  };
+  const auto left = std::chrono::duration_cast<milliseconds>(mNextTick - Base::RuntimeClock::now());
+  zmq::poll(items, 2, std::max(left, milliseconds(0)));
+  uint64_t wakeUps = 0;
+  if ((items[1].revents & ZMQ_POLLIN) != 0 &&
+      read(mWakeDescriptor, &wakeUps, sizeof(wakeUps)) < 0) {
+    LOG(WARNING) << "[control] Wake-up lost: " << std::strerror(errno) << ".";
+  }
+}
+
+void
+LogDriver::ReceiveMessages()
+{
+  for (int i = 0; i < kMaxMessagesPerTurn; ++i) {
+    const std::optional<Consensus::Message> message = mPeers->Receive();
+    if (!message.has_value()) {
+      return;
+    }
+    if (message->has_reports()) {
+      mStore.AddReports(message->reports());
+      continue;
+    }
+    const Base::TimePoint now = Base::RuntimeClock::now();
+    Replication::Perform(
+      mReplica,
+      now,
+      Consensus::Receive(mReplica.mNode, Replication::ContextOf(mReplica, now), *message));
+  }
+}
+
+void
+LogDriver::TakeRequests()
+{
+  std::deque<RequestPtr> requests;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    requests.swap(mRequests);
+  }
+  std::vector<RequestPtr> changes;
+  std::vector<RequestPtr> reads;
+  for (RequestPtr& request : requests) {
+    (request->mCommand.empty() ? reads : changes).push_back(std::move(request));
+  }
+  if (!changes.empty()) {
+    ProposeAll(changes);
+  }
+  if (!reads.empty()) {
+    ReadAll(std::move(reads));
+  }
+}
+
+void
+LogDriver::ProposeAll(const std::vector<RequestPtr>& aRequests)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  std::vector<std::string> commands;
+  commands.reserve(aRequests.size());
+  for (const RequestPtr& request : aRequests) {
+    commands.push_back(request->mCommand);
+  }
+  Consensus::Output output;
+  const absl::StatusOr<Consensus::LogIndex> first =
+    Consensus::Propose(mReplica.mNode, Replication::ContextOf(mReplica, now), commands, output);
+  Consensus::LogIndex index = first.value_or(0);
+  for (const RequestPtr& request : aRequests) {
+    if (first.ok()) {
+      mWaiting[index++] = { mReplica.mNode.mHardState.mTerm, request };
+    } else {
+      request->mPromise.set_value({ NotLeading(), {}, 0 });
+    }
+  }
+  Replication::Perform(mReplica, now, std::move(output));
+}
+
+void
+LogDriver::ReadAll(std::vector<RequestPtr> aRequests)
+{
+  const uint64_t readId = ++mNextReadId;
+  mReads[readId] = std::move(aRequests);
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  Replication::Perform(
+    mReplica,
+    now,
+    Consensus::RequestRead(mReplica.mNode, Replication::ContextOf(mReplica, now), readId));
+}
+
+void
+LogDriver::Tick()
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  mNextTick = now + kTickInterval;
+  Replication::Perform(
+    mReplica, now, Consensus::Tick(mReplica.mNode, Replication::ContextOf(mReplica, now)));
+  ShareReports();
+  if (now >= mNextRelease) {
+    mNextRelease = now + kReleaseInterval;
+    ReleaseAddresses();
+  }
+  if (mStopping) {
+    HandOver();
+  }
+}
+
+void
+LogDriver::ShareReports()
+{
+  const lw::consensus::Reports reports = mStore.TakeReportsToShare();
+  if (reports.reports().empty()) {
+    return;
+  }
+  for (const ControlAddress& peer : mSettings.mInstances) {
+    Consensus::Message message;
+    message.set_from(mSettings.mInstance.mValue);
+    message.set_to(peer.mInstance.mValue);
+    *message.mutable_reports() = reports;
+    mPeers->Send(message);
+  }
+}
+
+void
+LogDriver::ReleaseAddresses()
+{
+  if (mReplica.mNode.mRole != Consensus::Role::Leader) {
+    return;
+  }
+  const lw::config::ReleasedAddresses released = mStore.Releasable(mSettings.mReportWindow);
+  if (released.addresses().empty()) {
+    return;
+  }
+  lw::config::Change change;
+  change.set_operator_id(Config::kControlOperatorId);
+  *change.mutable_release_addresses() = released;
+  auto request = std::make_shared<Request>();
+  request->mCommand = Config::MakeCommand(change, WallClockMs());
+  ProposeAll({ request });
+  LOG(INFO) << "[control] Releases " << released.addresses_size() << " retired addresses.";
+}
+
+void
+LogDriver::HandOver()
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  if (mStopBy == Base::TimePoint()) {
+    mStopBy = now + kHandOverLimit;
+  }
+  const bool alone = mSettings.mInstances.size() == 1;
+  if (mReplica.mNode.mRole != Consensus::Role::Leader || alone || now >= mStopBy) {
+    mDone = true;
+    return;
+  }
+  Replication::Perform(
+    mReplica,
+    now,
+    Consensus::HandOverLeadership(mReplica.mNode, Replication::ContextOf(mReplica, now)));
+}
+
+void
+LogDriver::Apply(const Consensus::Entry& aEntry)
+{
+  absl::StatusOr<Base::ConfigVersion> version = Base::ConfigVersion();
+  if (aEntry.kind() == lw::consensus::COMMAND) {
+    version = mStore.ApplyCommand(aEntry.command());
+  }
+  const auto waiting = mWaiting.find(aEntry.index());
+  if (waiting == mWaiting.end()) {
+    return;
+  }
+  const RequestPtr request = waiting->second.mRequest;
+  const bool own = waiting->second.mTerm == aEntry.term();
+  mWaiting.erase(waiting);
+  if (!own) {
+    request->mPromise.set_value({ LeadershipLost(), {}, 0 });
+    return;
+  }
+  request->mPromise.set_value(
+    { version.status(), version.value_or(Base::ConfigVersion()), mStore.Version() });
+}
+
+void
+LogDriver::FinishRead(uint64_t aReadId, bool aConfirmed)
+{
+  const auto found = mReads.find(aReadId);
+  if (found == mReads.end()) {
+    return;
+  }
+  for (const RequestPtr& request : found->second) {
+    request->mPromise.set_value({ aConfirmed ? absl::OkStatus() : NotLeading(), {}, 0 });
+  }
+  mReads.erase(found);
+}
+
+void
+LogDriver::FailWaitingUnlessLeader()
+{
+  if (mReplica.mNode.mRole == Consensus::Role::Leader && !mDone) {
+    return;
+  }
+  for (auto& [index, waiting] : mWaiting) {
+    waiting.mRequest->mPromise.set_value({ LeadershipLost(), {}, 0 });
+  }
+  mWaiting.clear();
+}
+
+void
+LogDriver::PublishStatus()
+{
+  const Consensus::Node& node = mReplica.mNode;
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  lw::operator_api::ControlStatus status;
+  status.set_instance(mSettings.mInstance.mValue);
+  status.set_leads(node.mRole == Consensus::Role::Leader);
+  status.set_term(node.mHardState.mTerm);
+  status.set_committed_index(node.mCommit);
+  status.set_applied_index(node.mApplied);
+  status.set_last_index(Consensus::LastIndex(node.mLog));
+  status.set_snapshot_index(node.mSnapshot.index());
+  status.set_connected(!node.mFailed &&
+                       Consensus::IsConnected(node, Replication::ContextOf(mReplica, now)));
+  status.set_storage_failure(std::string(mFailure.message()));
+  for (const lw::consensus::Replica& replica : Consensus::CurrentMembership(node).replicas()) {
+    lw::operator_api::ControlMember* member = status.add_members();
+    member->set_instance(replica.instance());
+    member->set_storage(replica.storage());
+    member->set_voter(replica.voter());
+    const auto progress = node.mProgress.find(Consensus::StorageId(replica.storage()));
+    member->set_synced_index(progress != node.mProgress.end() ? progress->second.mSynced : 0);
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mStatus = std::move(status);
+  mLeader = node.mLeader;
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/tools/control/logdriver.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "base/ids.h"
+#include "configstore.h"
+#include "controlsettings.h"
+#include "peersockets.h"
+#include "replication/replica.h"
+
+#include <atomic>
+#include <deque>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace Control {
+
+/// Answer to an operator's change.
+struct ChangeOutcome
+{
+  absl::Status mStatus;
+  Base::ConfigVersion mVersion;
+  /// Version after the change was accepted or refused; 0 if it was not decided.
+  uint64_t mCurrentVersion = 0;
+};
+
+/// Runs the replicated log in one thread: messages of the other control instances, timers, and the
+/// requests of operators.
+class LogDriver
+{
+public:
+  LogDriver(const ControlSettings& aSettings, ConfigStore& aStore);
+  ~LogDriver();
+  LogDriver(const LogDriver&) = delete;
+  LogDriver& operator=(const LogDriver&) = delete;
+
+  /// Opens the data directory and starts the thread.
+  absl::Status Start();
+
+  /// Hands over the leadership and ends the thread.
+  void Stop();
+
+  /// Proposes a change and waits for its outcome.
+  /// \return Unavailable if this instance does not lead or stopped leading, DeadlineExceeded after
+  /// aLimit; the change may then still be accepted.
+  ChangeOutcome Apply(const lw::config::Change& aChange, Base::Duration aLimit);
+
+  /// Waits until the store holds everything that was acknowledged before the call.
+  absl::Status ConfirmRead(Base::Duration aLimit);
+
+  /// \return true if a leader is known that was heard within an election timeout.
+  bool IsConnected() const;
+
+  /// \return the leader's address for operators, empty if none is known.
+  std::string LeaderAddress() const;
+
+  void FillStatus(lw::operator_api::ControlStatus& aStatus) const;
+
+private:
+  /// An operator's call. Without a change it is a read.
+  struct Request
+  {
+    std::string mCommand;
+    std::promise<ChangeOutcome> mPromise;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  struct Waiting
+  {
+    Consensus::Term mTerm = 0;
+    RequestPtr mRequest;
+  };
+
+  ChangeOutcome Submit(std::string aCommand, Base::Duration aLimit);
+  Replication::ReplicaPorts MakePorts();
+  void Run();
+  void Wait();
+  void ReceiveMessages();
+  void TakeRequests();
+  void ProposeAll(const std::vector<RequestPtr>& aRequests);
+  void ReadAll(std::vector<RequestPtr> aRequests);
+  void Tick();
+  void ShareReports();
+  void ReleaseAddresses();
+  void HandOver();
+  void Apply(const Consensus::Entry& aEntry);
+  void FinishRead(uint64_t aReadId, bool aConfirmed);
+  void FailWaitingUnlessLeader();
+  void PublishStatus();
+
+  const ControlSettings& mSettings;
+  ConfigStore& mStore;
+  zmq::context_t mContext;
+  std::unique_ptr<PeerSockets> mPeers;
+  int mWakeDescriptor = -1;
+  std::thread mThread;
+  std::atomic<bool> mStopping{ false };
+
+  // Used by the log thread only.
+  Replication::Replica mReplica;
+  std::map<Consensus::LogIndex, Waiting> mWaiting;
+  std::map<uint64_t, std::vector<RequestPtr>> mReads;
+  uint64_t mNextReadId = 0;
+  Base::TimePoint mNextTick;
+  Base::TimePoint mNextRelease;
+  Base::TimePoint mStopBy;
+  bool mDone = false;
+  absl::Status mFailure;
+
+  mutable std::mutex mMutex;
+  std::deque<RequestPtr> mRequests;
+  lw::operator_api::ControlStatus mStatus;
+  Base::InstanceId mLeader;
+};
+
+} // namespace Control
--- a/src/tools/control/main.cpp
+++ b/src/tools/control/main.cpp
@@ -1,39 +1,67 @@
 #include "configstore.h"
 #include "controlsettings.h"
 #include "feedserver.h"
+#include "inspect.h"
+#include "logdriver.h"
 #include "operatorservice.h"
 #include "program/startup.h"
 #include "program/stopsignal.h"
 
+#include "absl/flags/flag.h"
+
 #include <glog/logging.h>
 
 #include <chrono>
 
+ABSL_FLAG(std::string, inspect, "", "data directory to print and verify, without starting");
+
 namespace {
 
+/// Time for operators' calls in progress at a stop.
 constexpr std::chrono::seconds kStopLimit{ 5 };
 
+std::unique_ptr<grpc::Server>
+StartOperatorServer(Control::OperatorService& aService, const Base::Endpoint& aListen)
+{
+  int port = 0;
+  grpc::ServerBuilder builder;
+  // Without it a second process could share the port instead of failing to start.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddListeningPort(Base::ToString(aListen), grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(&aService);
+  std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+  if (server == nullptr || port == 0) {
+    LOG(ERROR) << "[control] Cannot listen on " << Base::ToString(aListen) << ".";
+    return nullptr;
+  }
+  return server;
+}
+
 int
 RunControl(const Control::ControlSettings& aSettings)
 {
   Program::BlockStopSignals();
   Control::ConfigStore store;
-  Control::OperatorService service(store, aSettings.mOperatorListen);
-  int port = 0;
-  grpc::ServerBuilder builder;
-  builder.AddListeningPort(
-    Base::ToString(aSettings.mOperatorListen), grpc::InsecureServerCredentials(), &port);
-  builder.RegisterService(&service);
-  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-  if (server == nullptr || port == 0) {
-    LOG(ERROR) << "[control] Cannot listen on " << Base::ToString(aSettings.mOperatorListen) << ".";
+  Control::LogDriver log(aSettings, store);
+  Control::FeedServer feed(store, log, aSettings.mFeedListen);
+  Control::OperatorService service(store, log);
+  absl::Status status = log.Start();
+  if (status.ok()) {
+    status = feed.Start();
+  }
+  if (!status.ok()) {
+    LOG(ERROR) << "[control] " << status.message() << ".";
+    return Program::kExitFailure;
+  }
+  const std::unique_ptr<grpc::Server> server =
+    StartOperatorServer(service, aSettings.mOperatorListen);
+  if (server == nullptr) {
     return Program::kExitFailure;
   }
-  Control::FeedServer feed(store, aSettings.mFeedListen);
-  feed.Start();
   LOG(INFO) << "[control] Instance " << aSettings.mInstance << " serves.";
   Program::WaitForStopSignal();
   server->Shutdown(std::chrono::system_clock::now() + kStopLimit);
+  log.Stop();
   feed.Stop();
   LOG(INFO) << "[control] Instance " << aSettings.mInstance << " stopped.";
   return Program::kExitOk;
@@ -45,7 +73,14 @@
 main(int aArgc, char** aArgv)
 {
   Program::ParseCommandLine(
-    aArgc, aArgv, "Runs a control instance. Exit codes: 0, 1 failure, 2 settings.");
+    aArgc,
+    aArgv,
+    "Runs a control instance, or verifies a data directory with --inspect. Exit codes: 0, 1 "
+    "failure, 2 settings.");
+  const std::string inspected = absl::GetFlag(FLAGS_inspect);
+  if (!inspected.empty()) {
+    return Control::InspectDirectory(inspected);
+  }
   Control::ControlSettings settings;
   const Program::Startup startup = Program::ReadSettings([&settings](Settings::Reader& aReader) {
     return Control::ReadControlSettings(aReader, settings);
--- a/src/tools/control/operatorservice.cpp
+++ b/src/tools/control/operatorservice.cpp
@@ -1,36 +1,87 @@
 #include "operatorservice.h"
 
+#include "config/validation.h"
+
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 namespace Control {
 
-OperatorService::OperatorService(ConfigStore& aStore, const Base::Endpoint& aEndpoint)
+namespace {
+
+/// Longest wait for an outcome; an election takes at most a few seconds.
+constexpr std::chrono::seconds kMaxWait{ 10 };
+
+/// \return the time that the caller still waits, at most kMaxWait.
+Base::Duration
+TimeLeft(const grpc::ServerContext& aContext)
+{
+  const auto left = aContext.deadline() - std::chrono::system_clock::now();
+  const Base::Duration limit = kMaxWait;
+  return left < limit
+           ? std::max(std::chrono::duration_cast<Base::Duration>(left), Base::Duration::zero())
+           : limit;
+}
+
+} // namespace
+
+OperatorService::OperatorService(const ConfigStore& aStore, LogDriver& aLog)
   : mStore(aStore)
-  , mEndpoint(aEndpoint)
+  , mLog(aLog)
+{
+}
+
+grpc::Status
+OperatorService::Translate(const absl::Status& aStatus, uint64_t aCurrentVersion) const
 {
+  if (aStatus.ok()) {
+    return grpc::Status::OK;
+  }
+  lw::operator_api::ErrorDetail detail;
+  const std::string message(aStatus.message());
+  if (absl::IsAborted(aStatus)) {
+    detail.set_current_version(aCurrentVersion);
+  } else if (absl::IsUnavailable(aStatus)) {
+    detail.set_leader(mLog.LeaderAddress());
+  } else if (const auto path = aStatus.GetPayload(Config::kFieldPathPayload)) {
+    lw::operator_api::FieldError* field = detail.add_fields();
+    field->set_path(std::string(*path));
+    field->set_reason(message);
+  }
+  // The codes of absl::Status and gRPC are the same numbers.
+  const auto code = static_cast<grpc::StatusCode>(aStatus.code());
+  const std::string leader = detail.leader().empty() ? "" : "; the leader is " + detail.leader();
+  return { code, message + leader, detail.SerializeAsString() };
 }
 
 grpc::Status
-OperatorService::Apply(grpc::ServerContext* /*aContext*/,
+OperatorService::Apply(grpc::ServerContext* aContext,
                        const lw::config::Change* aChange,
                        lw::operator_api::ChangeReply* aReply)
 {
-  const absl::StatusOr<Base::ConfigVersion> version = mStore.Apply(*aChange);
-  if (!version.ok()) {
-    const auto code = static_cast<grpc::StatusCode>(version.status().code());
-    return { code, std::string(version.status().message()) };
+  absl::Status valid = Config::ValidateChange(*aChange);
+  if (valid.ok() && aChange->has_release_addresses()) {
+    valid = absl::InvalidArgumentError("addresses are released by the control instances only");
   }
-  aReply->set_version(version->mValue);
-  return grpc::Status::OK;
+  if (!valid.ok()) {
+    return Translate(valid, 0);
+  }
+  const ChangeOutcome outcome = mLog.Apply(*aChange, TimeLeft(*aContext));
+  aReply->set_version(outcome.mVersion.mValue);
+  return Translate(outcome.mStatus, outcome.mCurrentVersion);
 }
 
 grpc::Status
-OperatorService::Read(grpc::ServerContext* /*aContext*/,
+OperatorService::Read(grpc::ServerContext* aContext,
                       const lw::operator_api::ReadRequest* /*aRequest*/,
                       lw::operator_api::ReadReply* aReply)
 {
-  *aReply->mutable_state() = mStore.State();
-  return grpc::Status::OK;
+  const absl::Status confirmed = mLog.ConfirmRead(TimeLeft(*aContext));
+  if (confirmed.ok()) {
+    *aReply->mutable_state() = mStore.State();
+  }
+  return Translate(confirmed, 0);
 }
 
 grpc::Status
@@ -38,9 +89,7 @@
                          const lw::operator_api::HistoryRequest* aRequest,
                          lw::operator_api::HistoryReply* aReply)
 {
-  for (const lw::config::Revision& revision : mStore.History(aRequest->after_version())) {
-    *aReply->add_revisions() = revision;
-  }
+  *aReply = mStore.History(aRequest->after_version());
   return grpc::Status::OK;
 }
 
@@ -50,7 +99,8 @@
                         lw::operator_api::StatusReply* aReply)
 {
   mStore.FillStatus(*aReply);
-  aReply->set_leader(Base::ToString(mEndpoint));
+  aReply->set_leader(mLog.LeaderAddress());
+  mLog.FillStatus(*aReply->mutable_control());
   return grpc::Status::OK;
 }
 
--- a/src/tools/control/operatorservice.h
+++ b/src/tools/control/operatorservice.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "configstore.h"
+#include "logdriver.h"
 
 #include "operator.grpc.pb.h"
 
@@ -13,8 +14,7 @@
 class OperatorService final : public lw::operator_api::Operator::Service
 {
 public:
-  /// \param aEndpoint is told to operators as the leader's.
-  OperatorService(ConfigStore& aStore, const Base::Endpoint& aEndpoint);
+  OperatorService(const ConfigStore& aStore, LogDriver& aLog);
 
   grpc::Status Apply(grpc::ServerContext* aContext,
                      const lw::config::Change* aChange,
@@ -30,8 +30,10 @@
                       lw::operator_api::StatusReply* aReply) override;
 
 private:
-  ConfigStore& mStore;
-  Base::Endpoint mEndpoint;
+  grpc::Status Translate(const absl::Status& aStatus, uint64_t aCurrentVersion) const;
+
+  const ConfigStore& mStore;
+  LogDriver& mLog;
 };
 
 } // namespace Control
--- a/tests/auto/consensus/tst_cluster.cpp
+++ b/tests/auto/consensus/tst_cluster.cpp
@@ -58,7 +58,7 @@
   for (uint32_t instance = 1; instance <= aInstances; ++instance){ aCluster.Start(instance);
 }
 const bool formed = aCluster.RunUntil([&] { return aCluster.Leader() != 0; }, kElectionBound);
-    CHECK_TRUE_TEXT(formed, aCluster.Violation().c_str());
+CHECK_TRUE_TEXT(formed, aCluster.Violation().c_str());
 }
 
 void
