--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -36,7 +36,7 @@
 # Hold time of a new upstream plus its first announcements.
 WARM_UP_SECONDS = 8
 LOAD_SECONDS = 24
-CONTROLS = 1
+CONTROLS = 3
 
 
 def caller_arguments(system):
