--- a/scripts/history.py
+++ b/scripts/history.py
@@ -128,6 +128,39 @@
         self.newest[entry["instance"]] = max(before, version)
 
 
+class LogWatch(threading.Thread):
+    """Collects the log while it grows, because control instances keep only the newest revisions."""
+
+    def __init__(self, system):
+        super().__init__()
+        self.system = system
+        self.revisions = {}
+        self.terms = set()
+        self.violations = []
+        self.stopping = threading.Event()
+
+    def run(self):
+        while not self.stopping.wait(1):
+            self.collect()
+
+    def collect(self):
+        """Returns whether a control instance answered."""
+        history = self.system.lwctl("--format=json", "--timeout_ms=2000", "history")
+        status = self.system.lwctl("--format=json", "--timeout_ms=2000", "status")
+        if status.returncode == 0:
+            self.terms.add(int(json.loads(status.stdout)["control"]["term"]))
+        if history.returncode != 0:
+            return False
+        for revision in json.loads(history.stdout).get("revisions", []):
+            version = int(revision["version"])
+            if self.revisions.setdefault(version, revision) != revision:
+                self.violations.append(f"version {version} changed its content")
+        return True
+
+    def log(self):
+        return [self.revisions[version] for version in sorted(self.revisions)]
+
+
 class FaultPlan:
     """Applies one fault after another from a seeded random source."""
 
@@ -179,13 +212,12 @@
                 self.system.proxy_command(command)
 
 
-def final_log(system):
+def final_log(log_watch):
     """Reads the log after the faults; bounded by SETTLE_SECONDS."""
     end = time.monotonic() + SETTLE_SECONDS
     while time.monotonic() < end:
-        result = system.lwctl("--format=json", "history")
-        if result.returncode == 0:
-            return json.loads(result.stdout).get("revisions", [])
+        if log_watch.collect():
+            return log_watch.log()
         time.sleep(0.2)
     raise RuntimeError("no control instance answered after the faults were healed")
 
@@ -196,6 +228,7 @@
     for entry in system.entries:
         entry["data_directory"] = f"{folder}/entry{entry['instance']}.data"
     watch = VersionWatch(system)
+    log_watch = LogWatch(system)
     try:
         system.put_proxy_between_controls(arguments.seed)
         controls = system.start_controls()
@@ -204,6 +237,7 @@
         operators = [Operator(system, n, deadline) for n in range(1, OPERATORS + 1)]
         faults = FaultPlan(system, controls, arguments.seed)
         watch.start()
+        log_watch.start()
         for operator in operators:
             operator.start()
         time.sleep(2)
@@ -211,22 +245,26 @@
             faults.step()
         for operator in operators:
             operator.join()
-        revisions = final_log(system)
+        log_watch.stopping.set()
+        log_watch.join()
+        revisions = final_log(log_watch)
         newest = int(revisions[-1]["version"]) if revisions else 0
         in_force = system.wait_in_force(newest, len(system.entries), SETTLE_SECONDS)
     finally:
-        watch.stopping.set()
-        if watch.is_alive():
-            watch.join()
+        for thread in (watch, log_watch):
+            thread.stopping.set()
+            if thread.is_alive():
+                thread.join()
         system.stop_all()
     operations = [operation for operator in operators for operation in operator.operations]
-    violations = linearizability.check(operations, revisions) + watch.violations
+    violations = linearizability.check(operations, revisions)
+    violations += watch.violations + log_watch.violations
     if not in_force:
         violations.append(f"version {newest} did not come into force on all entry instances")
-    return report(operations, revisions, violations, faults)
+    return report(operations, revisions, violations, faults, len(log_watch.terms))
 
 
-def report(operations, revisions, violations, faults):
+def report(operations, revisions, violations, faults, terms):
     acknowledged = sum(1 for o in operations if o.kind == "change" and o.version is not None)
     for violation in violations:
         print(f"violation: {violation}", file=sys.stderr)
@@ -235,7 +273,7 @@
         "acknowledged_changes": acknowledged,
         "logged_changes": len(revisions),
         "violations": len(violations),
-        "elections": int(max((r.get("term", 0) for r in revisions), default=0)),
+        "elections": terms,
         "kills": faults.kills,
         "cuts": faults.cuts,
     }
--- a/src/libs/program/startup.cpp
+++ b/src/libs/program/startup.cpp
@@ -3,6 +3,8 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include "absl/flags/usage_config.h"
+#include "absl/strings/match.h"
 
 #include <glog/logging.h>
 
@@ -17,6 +19,12 @@
 ParseCommandLine(int aArgc, char** aArgv, const std::string& aUsage)
 {
   absl::SetProgramUsageMessage(aUsage);
+  absl::FlagsUsageConfig usage;
+  // By default --help lists only flags from a file that is named after the program.
+  usage.contains_help_flags = [](absl::string_view aFile) {
+    return absl::StrContains(aFile, "src/");
+  };
+  absl::SetFlagsUsageConfig(usage);
   const std::vector<char*> rest = absl::ParseCommandLine(aArgc, aArgv);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(aArgv[0]);
