--- /dev/null
+++ b/src/libs/requests/handover.cpp
@@ -0,0 +1,276 @@
+#include "requests/handover.h"
+
+#include "base/hash.h"
+#include "requests/messages.h"
+#include "requests/replies.h"
+#include "requests/transfer.h"
+
+#include <utility>
+#include <vector>
+
+namespace Requests::Internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Flows of a leaving run are idle for at most 10 min before they are dropped; 5 min are a margin.
+constexpr std::chrono::minutes kSuccessionLife{ 15 };
+constexpr size_t kMaxSuccessions = 1024;
+// 50,000 flows take 12 s at 200 flows in each tick of 50 ms, and the burst fits a socket buffer.
+constexpr size_t kTransfersInTick = 200;
+constexpr milliseconds kResendTime{ 200 };
+constexpr milliseconds kLeaveNoticeTime{ 200 };
+constexpr std::chrono::seconds kSuccessorNoticeTime{ 5 };
+
+void
+SendSuccession(Work& aWork, const Run& aOwner, const Run& aSuccessor)
+{
+  lw::requestpeer::RequestPeerPacket packet;
+  *packet.mutable_succession()->mutable_owner() = ToMessage(aOwner);
+  *packet.mutable_succession()->mutable_successor() = ToMessage(aSuccessor);
+  const std::string payload = packet.SerializeAsString();
+  for (const Membership::Member& member : aWork.mContext.mView.mMembers) {
+    if (member.mId != aWork.mState.mSelf.mInstance) {
+      aWork.mEffects.mToPeers.push_back({ member.mId, payload });
+    }
+  }
+}
+
+std::optional<Run>
+SelectSuccessor(const Work& aWork)
+{
+  const Run& self = aWork.mState.mSelf;
+  std::optional<Run> best;
+  uint64_t bestScore = 0;
+  for (const Membership::Member& member : aWork.mContext.mView.mMembers) {
+    if (member.mId == self.mInstance || member.mState != Membership::MemberState::Alive) {
+      continue;
+    }
+    const uint64_t score =
+      Base::StableHash({ self.mIncarnation.mValue, self.mInstance.mValue, member.mId.mValue });
+    if (!best.has_value() || score > bestScore) {
+      best = Run{ member.mId, member.mIncarnation };
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+void
+SendTransfer(Work& aWork, PendingTransfer& aTransfer)
+{
+  const Base::TimePoint now = aWork.mContext.mNow;
+  const auto age = std::chrono::duration_cast<milliseconds>(now - aTransfer.mFrozenAt);
+  aTransfer.mPacket.mutable_transfer()->set_age_ms(static_cast<uint32_t>(age.count()));
+  aTransfer.mSentAt = now;
+  aWork.mEffects.mToPeers.push_back(
+    { aWork.mState.mHandover.mSuccessor->mInstance, aTransfer.mPacket.SerializeAsString() });
+  CountEvent(aWork.mEffects, Event::TransferSent);
+}
+
+bool
+HasRunningWork(const State& aState, Base::FlowNumber aFlow)
+{
+  for (uint64_t number : aState.mRunning) {
+    if (aState.mAttempts.at(number).mCall.mFlow == aFlow) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Takes a flow out of the table for good: from here on only its transfer is sent.
+void
+Freeze(Work& aWork, Base::FlowNumber aNumber)
+{
+  State& state = aWork.mState;
+  PendingTransfer pending;
+  pending.mFrozenAt = aWork.mContext.mNow;
+  WriteTransfer(aWork, aNumber, *pending.mPacket.mutable_transfer());
+  const auto first = state.mWaiting.lower_bound({ aNumber, Base::RequestNumber(0) });
+  std::vector<CallKey> held;
+  for (auto key = first; key != state.mWaiting.end() && key->mFlow == aNumber; ++key) {
+    held.push_back(*key);
+  }
+  for (const CallKey& key : held) {
+    ForgetCall(state, key);
+  }
+  RemoveFlow(state.mFlows, aNumber);
+  const auto added = state.mHandover.mPending.emplace(aNumber, std::move(pending)).first;
+  SendTransfer(aWork, added->second);
+}
+
+void
+FreezeIdleFlows(Work& aWork)
+{
+  State& state = aWork.mState;
+  std::vector<Base::FlowNumber> ready;
+  for (const auto& [number, flow] : state.mFlows.mFlows) {
+    if (ready.size() == kTransfersInTick) {
+      break;
+    }
+    if (flow.mOpenCalls == 0 || !HasRunningWork(state, number)) {
+      ready.push_back(number);
+    }
+  }
+  for (Base::FlowNumber number : ready) {
+    Freeze(aWork, number);
+  }
+}
+
+void
+RepeatSuccessions(Work& aWork)
+{
+  Successions& known = aWork.mState.mSuccessions;
+  const Base::TimePoint now = aWork.mContext.mNow;
+  if (now < known.mNextNotice) {
+    return;
+  }
+  known.mNextNotice = now + kSuccessorNoticeTime;
+  for (auto entry = known.mAccepted.begin(); entry != known.mAccepted.end();) {
+    if (entry->second.mLastTransfer + kSuccessionLife <= now) {
+      entry = known.mAccepted.erase(entry);
+      continue;
+    }
+    for (const Run& origin : entry->second.mOrigins) {
+      SendSuccession(aWork, origin, aWork.mState.mSelf);
+    }
+    ++entry;
+  }
+}
+
+void
+SendConfirmation(Work& aWork, const lw::requestpeer::FlowTransfer& aTransfer)
+{
+  lw::requestpeer::RequestPeerPacket packet;
+  lw::requestpeer::FlowTransferConfirmed& confirmed = *packet.mutable_confirmed();
+  *confirmed.mutable_sender() = aTransfer.sender();
+  *confirmed.mutable_successor() = aTransfer.successor();
+  *confirmed.mutable_upstream() = aTransfer.upstream();
+  confirmed.set_flow(aTransfer.flow());
+  aWork.mEffects.mToPeers.push_back(
+    { Base::InstanceId(aTransfer.sender().instance()), packet.SerializeAsString() });
+}
+
+} // namespace
+
+void
+BeginHandover(Work& aWork)
+{
+  State& state = aWork.mState;
+  if (state.mHandover.mIsLeaving) {
+    return;
+  }
+  state.mHandover.mIsLeaving = true;
+  state.mHandover.mSuccessor = SelectSuccessor(aWork);
+  if (!state.mHandover.mSuccessor.has_value()) {
+    return;
+  }
+  std::vector<CallKey> calls;
+  for (const auto& [key, call] : state.mCalls) {
+    calls.push_back(key);
+  }
+  for (const CallKey& key : calls) {
+    if (WithdrawCall(state, key)) {
+      HoldCall(state, key);
+    }
+  }
+}
+
+void
+TickHandover(Work& aWork)
+{
+  RepeatSuccessions(aWork);
+  Handover& handover = aWork.mState.mHandover;
+  const Base::TimePoint now = aWork.mContext.mNow;
+  if (!handover.mIsLeaving || !handover.mSuccessor.has_value()) {
+    return;
+  }
+  if (now >= handover.mNextNotice && aWork.mState.mShard == 0) {
+    handover.mNextNotice = now + kLeaveNoticeTime;
+    ++handover.mNotices;
+    SendSuccession(aWork, aWork.mState.mSelf, *handover.mSuccessor);
+  }
+  size_t sent = 0;
+  for (auto& [number, pending] : handover.mPending) {
+    if (now >= pending.mSentAt + kResendTime && sent < kTransfersInTick) {
+      SendTransfer(aWork, pending);
+      ++sent;
+    }
+  }
+  FreezeIdleFlows(aWork);
+}
+
+void
+AcceptTransfer(Work& aWork, const lw::requestpeer::FlowTransfer& aTransfer)
+{
+  State& state = aWork.mState;
+  const Run sender = FromMessage(aTransfer.sender());
+  const bool isForUs = IsSameRun(FromMessage(aTransfer.successor()), state.mSelf);
+  if (!isForUs) {
+    CountEvent(aWork.mEffects, Event::DropTransferNotForUs);
+    return;
+  }
+  const Base::TimePoint now = aWork.mContext.mNow;
+  const Base::FlowNumber number(aTransfer.flow());
+  const auto known = state.mSuccessions.mAccepted.find(sender);
+  if (known != state.mSuccessions.mAccepted.end() && known->second.mFlows.count(number) != 0) {
+    SendConfirmation(aWork, aTransfer);
+    return;
+  }
+  if (state.mHandover.mIsLeaving) {
+    CountEvent(aWork.mEffects, Event::DropTransferNotForUs);
+    return;
+  }
+  if (state.mFlows.mFlows.size() >= aWork.mContext.mSettings.mMaxFlows) {
+    CountEvent(aWork.mEffects, Event::DropTransferTableFull);
+    return;
+  }
+  if (!ReadTransfer(aWork, aTransfer)) {
+    CountEvent(aWork.mEffects, Event::DropMalformed);
+    return;
+  }
+  const Run origin = FromMessage(aTransfer.origin());
+  Successions::Accepted& accepted = state.mSuccessions.mAccepted[sender];
+  accepted.mFlows.insert(number);
+  accepted.mLastTransfer = now;
+  const bool isNewSender = accepted.mOrigins.insert(sender).second;
+  if (accepted.mOrigins.insert(origin).second || isNewSender) {
+    SendSuccession(aWork, origin, state.mSelf);
+  }
+  AcceptSuccession(state, sender, state.mSelf, now);
+  AcceptSuccession(state, origin, state.mSelf, now);
+  SendConfirmation(aWork, aTransfer);
+  CountEvent(aWork.mEffects, Event::TransferAccepted);
+}
+
+void
+AcceptConfirmation(Work& aWork, const lw::requestpeer::FlowTransferConfirmed& aConfirmed)
+{
+  Handover& handover = aWork.mState.mHandover;
+  const bool isOurs = IsSameRun(FromMessage(aConfirmed.sender()), aWork.mState.mSelf) &&
+                      handover.mSuccessor.has_value() &&
+                      IsSameRun(FromMessage(aConfirmed.successor()), *handover.mSuccessor);
+  if (isOurs && handover.mPending.erase(Base::FlowNumber(aConfirmed.flow())) != 0) {
+    CountEvent(aWork.mEffects, Event::TransferConfirmed);
+  }
+}
+
+void
+AcceptSuccession(State& aState, const Run& aOwner, const Run& aSuccessor, Base::TimePoint aNow)
+{
+  auto& known = aState.mSuccessions.mByOwner;
+  if (known.size() >= kMaxSuccessions) {
+    for (auto entry = known.begin(); entry != known.end();) {
+      entry = entry->second.mExpiry <= aNow ? known.erase(entry) : std::next(entry);
+    }
+  }
+  const bool isOwnRun = IsSameRun(aOwner, aState.mSelf) || IsSameRun(aOwner, aSuccessor);
+  if (isOwnRun || (known.size() >= kMaxSuccessions && known.count(aOwner) == 0)) {
+    return;
+  }
+  known[aOwner] = { aSuccessor, aNow + kSuccessionLife };
+}
+
+} // namespace Requests::Internal
--- /dev/null
+++ b/src/libs/requests/policy.cpp
@@ -0,0 +1,60 @@
+#include "requests/policy.h"
+
+#include "requests/attempts.h"
+#include "requests/replies.h"
+
+#include <algorithm>
+
+namespace Requests::Internal {
+
+void
+SetPolicy(UpstreamQueue& aQueue, const std::shared_ptr<const Config::ServiceView>& aService)
+{
+  aQueue.mService = aService;
+  aQueue.mPolicy = Admission::Policy();
+  for (const lw::config::WorkKind& kind : aService->mDefinition.work_kinds()) {
+    aQueue.mPolicy.mKinds.push_back({ kind.name(), kind.share_permille(), kind.urgency() });
+  }
+  for (const lw::config::ClientTerms& client : aService->mDefinition.clients()) {
+    aQueue.mPolicy.mClients.push_back(
+      { client.client(), client.starting_share_permille(), client.surge_allowance() });
+  }
+}
+
+bool
+HasKind(const Config::ServiceView& aService, const std::string& aKind)
+{
+  const auto& kinds = aService.mDefinition.work_kinds();
+  return kinds.empty() ||
+         std::any_of(kinds.begin(), kinds.end(), [&aKind](const lw::config::WorkKind& aOther) {
+           return aOther.name() == aKind;
+         });
+}
+
+void
+ReportUpstream(UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext)
+{
+  const Membership::Upstream* upstream =
+    Membership::FindUpstream(aContext.mView, aKey.mEndpoint, aKey.mGeneration);
+  if (upstream == nullptr || upstream->mLeaseEnd == aQueue.mReportedLeaseEnd) {
+    return;
+  }
+  aQueue.mReportedLeaseEnd = upstream->mLeaseEnd;
+  Admission::Report(aQueue.mScheduler, upstream->mSlots, upstream->mLoad, aContext.mNow);
+}
+
+bool
+TakeRetryFor(Work& aWork, const Call& aCall)
+{
+  const auto queue = aWork.mState.mQueues.find(aCall.mUpstream);
+  if (queue == aWork.mState.mQueues.end() || queue->second.mService == nullptr) {
+    return false;
+  }
+  RetryBudget& budget = aWork.mState.mRetryBudgets[queue->second.mService->mName];
+  const bool isAllowed =
+    TakeRetry(budget, aWork.mContext.mSettings.mRetryPermille, aWork.mContext.mNow);
+  CountEvent(aWork.mEffects, isAllowed ? Event::Retried : Event::RetryBudgetSpent);
+  return isAllowed;
+}
+
+} // namespace Requests::Internal
