--- a/src/libs/requests/progress.cpp
+++ b/src/libs/requests/progress.cpp
@@ -51,9 +51,10 @@
     return;
   }
   attempt.mLastPiece = aWork.mContext.mNow;
+  const CallKey key = attempt.mCall;
   TrimAnswers(state.mAnswers, bound - std::min(bound, state.mAssemblyBytes), aWork.mContext.mNow);
   if (result == PieceResult::Complete) {
-    EndAnswered(aWork, attempt.mCall, aNumber);
+    EndAnswered(aWork, key, aNumber);
   }
 }
 
--- /dev/null
+++ b/src/tools/measure/requestsnetwork.cpp
@@ -0,0 +1,58 @@
+#include "measure/requestsnetwork.h"
+
+#include <utility>
+
+namespace RequestFakes {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+void
+After(Network& aNetwork, Base::Duration aDelay, std::function<void()> aAction)
+{
+  aNetwork.mEntries.push({ aNetwork.mNow + aDelay, aNetwork.mNextOrder++, std::move(aAction) });
+}
+
+void
+Carry(Network& aNetwork, const Options& aOptions, const std::function<void()>& aDeliver)
+{
+  const int copies = Chance(aNetwork, aOptions.mDuplicatePermille) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (Chance(aNetwork, aOptions.mLossPermille)) {
+      continue;
+    }
+    Base::Duration delay = Between(aNetwork, microseconds(200), milliseconds(3));
+    if (Chance(aNetwork, aOptions.mLatePermille)) {
+      delay += Between(aNetwork, milliseconds(10), milliseconds(2000));
+    }
+    After(aNetwork, delay, aDeliver);
+  }
+}
+
+bool
+Chance(Network& aNetwork, uint32_t aPermille)
+{
+  constexpr uint64_t kPermille = 1000;
+  return Base::NextBelow(aNetwork.mRandom, kPermille) < aPermille;
+}
+
+Base::Duration
+Between(Network& aNetwork, Base::Duration aLow, Base::Duration aHigh)
+{
+  const auto span = static_cast<uint64_t>((aHigh - aLow).count());
+  return aLow + Base::Duration(Base::NextBelow(aNetwork.mRandom, span));
+}
+
+void
+RunUntil(Network& aNetwork, Base::TimePoint aEnd)
+{
+  while (!aNetwork.mEntries.empty() && aNetwork.mEntries.top().mTime <= aEnd) {
+    const Network::Entry entry = aNetwork.mEntries.top();
+    aNetwork.mEntries.pop();
+    aNetwork.mNow = entry.mTime;
+    entry.mAction();
+  }
+  aNetwork.mNow = aEnd;
+}
+
+} // namespace RequestFakes
