Follow the chain of successors and wait for runs that may have just joined

Cause: in runs with graceful leaves only, some requests got "outcome unknown": a successor announced itself for all flows of an earlier owner while the leaving instance still had some, and instances took a run that had just joined for gone.

--- a/src/libs/requests/handover.cpp
+++ b/src/libs/requests/handover.cpp
@@ -3,6 +3,7 @@
 #include "requests/messages.h"
 #include "requests/replies.h"
 #include "requests/routing.h"
+#include "requests/runhistory.h"
 #include "requests/transfer.h"
 
 #include <utility>
@@ -99,29 +100,12 @@
   }
 }
 
-/// Remembers the runs in the view.
-/// \return true if one of them is new, so that it has not heard earlier notices.
-bool
-HasNewMember(Work& aWork)
-{
-  std::set<Run>& known = aWork.mState.mSuccessions.mInformed;
-  std::set<Run> present;
-  bool hasNew = false;
-  for (const Membership::Member& member : aWork.mContext.mView.mMembers) {
-    const Run run{ member.mId, member.mIncarnation };
-    hasNew = hasNew || known.count(run) == 0;
-    present.insert(run);
-  }
-  known = std::move(present);
-  return hasNew;
-}
-
 void
-RepeatSuccessions(Work& aWork)
+RepeatSuccessions(Work& aWork, bool aHasChanged)
 {
   Successions& known = aWork.mState.mSuccessions;
   const Base::TimePoint now = aWork.mContext.mNow;
-  if (now < known.mNextNotice && !HasNewMember(aWork)) {
+  if (now < known.mNextNotice && !aHasChanged) {
     return;
   }
   known.mNextNotice = now + kSuccessorNoticeTime;
@@ -130,8 +114,13 @@
       entry = known.mAccepted.erase(entry);
       continue;
     }
+    // While the sender is there it still has a part of the flows that it took over from others.
+    const Run& sender = entry->first;
+    const bool isSenderGone = aWork.mState.mRuns.mMembers.count(sender) == 0;
     for (const Run& origin : entry->second.mOrigins) {
-      SendSuccession(aWork, origin, aWork.mState.mSelf);
+      if (isSenderGone || IsSameRun(origin, sender)) {
+        SendSuccession(aWork, origin, aWork.mState.mSelf);
+      }
     }
     ++entry;
   }
@@ -179,7 +168,7 @@
 void
 TickHandover(Work& aWork)
 {
-  RepeatSuccessions(aWork);
+  RepeatSuccessions(aWork, UpdateRuns(aWork.mState.mRuns, aWork.mContext));
   Handover& handover = aWork.mState.mHandover;
   const Base::TimePoint now = aWork.mContext.mNow;
   if (!handover.mIsLeaving || !handover.mSuccessor.has_value()) {
@@ -233,12 +222,11 @@
   Successions::Accepted& accepted = state.mSuccessions.mAccepted[sender];
   accepted.mFlows.insert(number);
   accepted.mLastTransfer = now;
-  const bool isNewSender = accepted.mOrigins.insert(sender).second;
-  if (accepted.mOrigins.insert(origin).second || isNewSender) {
-    SendSuccession(aWork, origin, state.mSelf);
+  if (accepted.mOrigins.insert(sender).second) {
+    SendSuccession(aWork, sender, state.mSelf);
   }
+  accepted.mOrigins.insert(origin);
   AcceptSuccession(state, sender, state.mSelf, now);
-  AcceptSuccession(state, origin, state.mSelf, now);
   SendConfirmation(aWork, aTransfer);
   CountEvent(aWork.mEffects, Event::TransferAccepted);
 }
--- a/src/libs/requests/routing.cpp
+++ b/src/libs/requests/routing.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "requests/owner.h"
 #include "requests/replies.h"
+#include "requests/runhistory.h"
 
 namespace Requests::Internal {
 
@@ -14,8 +15,6 @@
 constexpr uint32_t kMaxOpenHops = 2;
 // Longest chain of successors that is followed; more leaves within the life of a flow are unlikely.
 constexpr int kMaxSuccessors = 8;
-// A new instance hears of members and successors within one period of their notices.
-constexpr std::chrono::seconds kSettleTime{ 5 };
 
 struct Route
 {
@@ -61,12 +60,12 @@
   return member != nullptr && IsSameRun({ member->mId, member->mIncarnation }, aRun);
 }
 
-/// Route if nothing is known of the ticket's run. A new instance may not have heard of all members
-/// and successors yet, so it lets another one decide.
+/// Route if neither the view nor a notice tells who has the ticket's run. While this instance may
+/// not have heard of it yet, another one decides.
 Route
-NotFound(const Work& aWork, const Ticket& aTicket)
+NotFound(Work& aWork, const Ticket& aTicket)
 {
-  if (aWork.mContext.mNow >= aWork.mState.mStartedAt + kSettleTime) {
+  if (IsGone(aWork.mState.mRuns, aTicket.mOwner, aWork.mContext.mNow)) {
     return {};
   }
   const Membership::Member* other = SelectOther(aWork, aTicket.mFlow.mValue);
@@ -76,7 +75,7 @@
 
 /// Route of a ticket whose flow is not in this table.
 Route
-FindRoute(const Work& aWork, const Ticket& aTicket)
+FindRoute(Work& aWork, const Ticket& aTicket)
 {
   const State& state = aWork.mState;
   const Handover& handover = state.mHandover;
--- a/src/libs/requests/state.cpp
+++ b/src/libs/requests/state.cpp
@@ -12,12 +12,11 @@
 }
 
 State
-MakeState(const Run& aSelf, uint32_t aShard, Base::TimePoint aNow)
+MakeState(const Run& aSelf, uint32_t aShard)
 {
   State state;
   state.mSelf = aSelf;
   state.mShard = aShard;
-  state.mStartedAt = aNow;
   return state;
 }
 
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -127,22 +127,29 @@
   struct Accepted
   {
     std::unordered_set<Base::FlowNumber> mFlows;
-    /// Owners that the tickets of these flows name.
+    /// The sender and the owners that the tickets of these flows name.
     std::set<Run> mOrigins;
     Base::TimePoint mLastTransfer;
   };
   std::map<Run, Accepted> mAccepted;
-  /// Members that were in the view at the last Tick.
-  std::set<Run> mInformed;
   Base::TimePoint mNextNotice;
 };
 
+/// Runs that were or are missing in the view, so that a run that has just joined or that is being
+/// succeeded is told apart from one that is gone. Bounded in entries; rebuilt from the view.
+struct RunHistory
+{
+  /// Members at the last Tick.
+  std::map<Run, Membership::MemberState> mMembers;
+  /// Time from which a run that is not in the view counts as gone.
+  std::map<Run, Base::TimePoint> mGoneFrom;
+};
+
 /// Requests of the upstreams of one shard. Owned by one run of an instance and lost with it: queued
 /// requests time out at their callers, later copies get "outcome unknown".
 struct State
 {
   Run mSelf;
-  Base::TimePoint mStartedAt;
   /// Number of the shard, part of its flow and work numbers.
   uint32_t mShard = 0;
   uint64_t mNextFlow = 1;
@@ -162,10 +169,11 @@
   std::map<std::string, RetryBudget> mRetryBudgets;
   Handover mHandover;
   Successions mSuccessions;
+  RunHistory mRuns;
 };
 
 /// Prepares the state of a new run.
 State
-MakeState(const Run& aSelf, uint32_t aShard, Base::TimePoint aNow);
+MakeState(const Run& aSelf, uint32_t aShard);
 
 } // namespace Requests
--- a/src/tools/measure/requestsinstance.cpp
+++ b/src/tools/measure/requestsinstance.cpp
@@ -139,7 +139,7 @@
 {
   const Base::Incarnation incarnation(Base::NextRandom(aWorld.mNetwork.mRandom));
   aInstance.mRandom.mState = incarnation.mValue;
-  aInstance.mState = Requests::MakeState({ aInstance.mId, incarnation }, 0, aWorld.mNetwork.mNow);
+  aInstance.mState = Requests::MakeState({ aInstance.mId, incarnation }, 0);
   aInstance.mView.mSelf = aInstance.mId;
   aInstance.mView.mIncarnation = incarnation;
   RefreshView(aWorld, aInstance);
