--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -27,7 +27,7 @@
   std::string mTicketKey;
   /// Bounds of the shard. A program with several shards passes what the other shards leave over.
   size_t mMaxFlows = 50000;
-  size_t mMaxAnswerBytes = 16 * 1024 * 1024;
+  size_t mMaxAnswerBytes = size_t{ 16 } * 1024 * 1024;
   uint32_t mRetryPermille = 100;
   Base::Duration mFlowIdle = std::chrono::minutes(10);
   Base::Duration mAnswerLife = std::chrono::seconds(10);
--- a/src/tools/measure/requestscaller.cpp
+++ b/src/tools/measure/requestscaller.cpp
@@ -112,6 +112,7 @@
     return;
   }
   std::vector<std::string> bodies;
+  bodies.reserve(pieces.size());
   for (const auto& [index, body] : pieces) {
     bodies.push_back(body);
   }
