--- a/src/libs/requests/routing.cpp
+++ b/src/libs/requests/routing.cpp
@@ -5,6 +5,8 @@
 #include "requests/replies.h"
 #include "requests/runhistory.h"
 
+#include <utility>
+
 namespace Requests::Internal {
 
 namespace {
@@ -108,6 +110,22 @@
   return hasOtherRun ? Route{ Route::Kind::Forward, owner, Event::None } : NotFound(aWork, aTicket);
 }
 
+/// \return the dispatcher of an upstream of the service, or nullptr if the upstream is not known
+/// here.
+const Membership::Member*
+DispatcherOf(const Work& aWork, const FlowAddresses& aAddresses, const Base::Endpoint& aUpstream)
+{
+  const auto& services = aWork.mContext.mServices.mByAddress;
+  const auto service = services.find(aAddresses.mService);
+  if (service == services.end()) {
+    return nullptr;
+  }
+  const Membership::View& view = aWork.mContext.mView;
+  const Membership::Upstream* upstream =
+    Membership::FindUpstream(view, aUpstream, service->second->mGeneration);
+  return upstream == nullptr ? nullptr : Membership::DispatcherOf(view, *upstream);
+}
+
 /// Answers for a flow that no instance owns any more. "Not run" is never said here: the owner may
 /// have dispatched the request.
 void
@@ -130,14 +148,16 @@
 const Membership::Member*
 SelectOther(const Work& aWork, uint64_t aKey)
 {
+  const Membership::View& view = aWork.mContext.mView;
   const Membership::Member* best = nullptr;
-  uint64_t bestScore = 0;
-  for (const Membership::Member& member : aWork.mContext.mView.mMembers) {
+  std::pair<bool, uint64_t> bestScore;
+  for (const Membership::Member& member : view.mMembers) {
     if (member.mId == aWork.mState.mSelf.mInstance ||
         member.mState != Membership::MemberState::Alive) {
       continue;
     }
-    const uint64_t score = Base::StableHash({ aKey, member.mId.mValue });
+    const bool isNear = member.mAvailabilityZone == view.mAvailabilityZone;
+    const std::pair<bool, uint64_t> score(isNear, Base::StableHash({ aKey, member.mId.mValue }));
     if (best == nullptr || score > bestScore) {
       best = &member;
       bestScore = score;
@@ -154,8 +174,7 @@
 {
   const Base::InstanceId self = aWork.mState.mSelf.mInstance;
   const Handover& handover = aWork.mState.mHandover;
-  const Membership::Member* dispatcher =
-    Membership::RendezvousMember(aWork.mContext.mView, Base::Pack(aUpstream));
+  const Membership::Member* dispatcher = DispatcherOf(aWork, aMessage.mAddresses, aUpstream);
   Base::InstanceId target = dispatcher == nullptr ? self : dispatcher->mId;
   if (handover.mIsLeaving && handover.mSuccessor.has_value() && target == self) {
     target = handover.mSuccessor->mInstance;
--- a/src/libs/requests/routing.h
+++ b/src/libs/requests/routing.h
@@ -7,7 +7,7 @@
 
 namespace Requests::Internal {
 
-/// Selects another alive member by rendezvous hash.
+/// Selects another alive member by rendezvous hash, if possible of the own availability zone.
 /// \return the member, or nullptr if this instance is alone.
 const Membership::Member*
 SelectOther(const Work& aWork, uint64_t aKey);
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -23,7 +23,7 @@
 
 struct Settings
 {
-  /// Key of the availability zone for tickets, the same on all its instances.
+  /// Key of the region for tickets, the same on all its instances.
   std::string mTicketKey;
   /// Bounds of the shard. A program with several shards passes what the other shards leave over.
   size_t mMaxFlows = 50000;
--- a/src/libs/requests/ticket.h
+++ b/src/libs/requests/ticket.h
@@ -43,7 +43,7 @@
 
 /// Encodes a ticket and appends a truncated HMAC-SHA256 over ticket and addresses. The addresses
 /// are covered so that a copied ticket is of no use to another caller or service. \param aKey is
-/// the availability zone key.
+/// the key of the region.
 std::string
 SealTicket(absl::string_view aKey, const Ticket& aTicket, const FlowAddresses& aAddresses);
 
--- /dev/null
+++ b/src/tools/control/feedserver.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/runtimeclock.h"
+#include "configstore.h"
+#include "logdriver.h"
+
+#include <atomic>
+#include <list>
+#include <string>
+#include <thread>
+
+namespace Control {
+
+/// Answers the configuration pulls of entry instances over ZeroMQ.
+class FeedServer
+{
+public:
+  FeedServer(ConfigStore& aStore, const LogDriver& aLog, const Base::Endpoint& aListen);
+  ~FeedServer();
+
+  /// \return Unavailable if the address cannot be bound.
+  absl::Status Start();
+  void Stop();
+
+private:
+  /// A pull that waits for a later version.
+  struct WaitingPull
+  {
+    std::string mPuller;
+    uint64_t mAfterVersion = 0;
+    Base::TimePoint mUntil;
+  };
+
+  void Run();
+  void Receive();
+  void HandlePull(const std::string& aPuller, const lw::feed::PullRequest& aRequest);
+  void AnswerWaiting();
+  void Send(const std::string& aPuller, const lw::feed::PullReply& aReply);
+
+  ConfigStore& mStore;
+  const LogDriver& mLog;
+  Base::Endpoint mListen;
+  zmq::context_t mContext;
+  zmq::socket_t mSocket;
+  std::list<WaitingPull> mWaiting;
+  std::atomic<bool> mStopping{ false };
+  std::thread mThread;
+};
+
+} // namespace Control
--- /dev/null
+++ b/src/tools/control/operatorservice.cpp
@@ -0,0 +1,107 @@
+#include "operatorservice.h"
+
+#include "config/validation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace Control {
+
+namespace {
+
+/// Longest wait for an outcome; an election takes at most a few seconds.
+constexpr std::chrono::seconds kMaxWait{ 10 };
+
+/// \return the time that the caller still waits, at most kMaxWait.
+Base::Duration
+TimeLeft(const grpc::ServerContext& aContext)
+{
+  const auto left = aContext.deadline() - std::chrono::system_clock::now();
+  const Base::Duration limit = kMaxWait;
+  return left < limit
+           ? std::max(std::chrono::duration_cast<Base::Duration>(left), Base::Duration::zero())
+           : limit;
+}
+
+} // namespace
+
+OperatorService::OperatorService(const ConfigStore& aStore, LogDriver& aLog)
+  : mStore(aStore)
+  , mLog(aLog)
+{
+}
+
+grpc::Status
+OperatorService::Translate(const absl::Status& aStatus, uint64_t aCurrentVersion) const
+{
+  if (aStatus.ok()) {
+    return grpc::Status::OK;
+  }
+  lw::operator_api::ErrorDetail detail;
+  const std::string message(aStatus.message());
+  if (absl::IsAborted(aStatus)) {
+    detail.set_current_version(aCurrentVersion);
+  } else if (absl::IsUnavailable(aStatus)) {
+    detail.set_leader(mLog.LeaderAddress());
+  } else if (const auto path = aStatus.GetPayload(Config::kFieldPathPayload)) {
+    lw::operator_api::FieldError* field = detail.add_fields();
+    field->set_path(std::string(*path));
+    field->set_reason(message);
+  }
+  // The codes of absl::Status and gRPC are the same numbers.
+  const auto code = static_cast<grpc::StatusCode>(aStatus.code());
+  const std::string leader = detail.leader().empty() ? "" : "; the leader is " + detail.leader();
+  return { code, message + leader, detail.SerializeAsString() };
+}
+
+grpc::Status
+OperatorService::Apply(grpc::ServerContext* aContext,
+                       const lw::config::Change* aChange,
+                       lw::operator_api::ChangeReply* aReply)
+{
+  absl::Status valid = Config::ValidateChange(*aChange);
+  if (valid.ok() && aChange->has_release_addresses()) {
+    valid = absl::InvalidArgumentError("addresses are released by the control instances only");
+  }
+  if (!valid.ok()) {
+    return Translate(valid, 0);
+  }
+  const ChangeOutcome outcome = mLog.Apply(*aChange, TimeLeft(*aContext));
+  aReply->set_version(outcome.mVersion.mValue);
+  return Translate(outcome.mStatus, outcome.mCurrentVersion);
+}
+
+grpc::Status
+OperatorService::Read(grpc::ServerContext* aContext,
+                      const lw::operator_api::ReadRequest* /*aRequest*/,
+                      lw::operator_api::ReadReply* aReply)
+{
+  const absl::Status confirmed = mLog.ConfirmRead(TimeLeft(*aContext));
+  if (confirmed.ok()) {
+    *aReply->mutable_state() = mStore.State();
+  }
+  return Translate(confirmed, 0);
+}
+
+grpc::Status
+OperatorService::History(grpc::ServerContext* /*aContext*/,
+                         const lw::operator_api::HistoryRequest* aRequest,
+                         lw::operator_api::HistoryReply* aReply)
+{
+  *aReply = mStore.History(aRequest->after_version());
+  return grpc::Status::OK;
+}
+
+grpc::Status
+OperatorService::Status(grpc::ServerContext* /*aContext*/,
+                        const lw::operator_api::StatusRequest* /*aRequest*/,
+                        lw::operator_api::StatusReply* aReply)
+{
+  mStore.FillStatus(*aReply);
+  aReply->set_leader(mLog.LeaderAddress());
+  mLog.FillStatus(*aReply->mutable_control());
+  return grpc::Status::OK;
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/tools/entry/requestpath.cpp
@@ -0,0 +1,259 @@
+#include "requestpath.h"
+
+#include "base/hash.h"
+
+#include "upstream.pb.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Entry {
+
+namespace {
+
+// An instance dispatches to few upstreams, so more shards than threads would stay empty.
+constexpr size_t kShards = 8;
+
+uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+Requests::FlowAddresses
+ToFlowAddresses(const Wire::ProxyAddresses& aAddresses)
+{
+  return { aAddresses.mSource, aAddresses.mDestination };
+}
+
+Wire::ProxyAddresses
+ToProxyAddresses(const Requests::FlowAddresses& aAddresses)
+{
+  return { aAddresses.mCaller, aAddresses.mService };
+}
+
+size_t
+Rest(size_t aBound, size_t aUsed)
+{
+  return aBound - std::min(aBound, aUsed);
+}
+
+} // namespace
+
+RequestPath::Shard::Shard(const Base::Snapshot<Membership::View>& aView,
+                          const Base::Snapshot<Config::ServiceIndex>& aServices)
+  : mView(aView)
+  , mServices(aServices)
+{
+}
+
+RequestPath::RequestPath(const EntrySettings& aSettings,
+                         Base::Incarnation aIncarnation,
+                         const PacketPorts& aPorts,
+                         const Base::Snapshot<Membership::View>& aView,
+                         const Base::Snapshot<Config::ServiceIndex>& aServices,
+                         Metrics::Registry& aMetrics)
+  : mPorts(aPorts)
+  , mView(aView)
+  , mPeerGone(aMetrics.CounterFor("lw_request_drops_total{reason=\"peer_gone\"}"))
+  , mOpenFlows(aMetrics.GaugeFor("lw_request_flows"))
+{
+  mSettings.mTicketKey = aSettings.mRegionKey;
+  for (size_t i = 0; i < static_cast<size_t>(Requests::Event::Count); ++i) {
+    const char* name = Requests::CounterName(static_cast<Requests::Event>(i));
+    mCounters.push_back(&aMetrics.CounterFor(name));
+  }
+  const Requests::Run self{ aSettings.mInstance, aIncarnation };
+  for (uint32_t i = 0; i < kShards; ++i) {
+    auto shard = std::make_unique<Shard>(aView, aServices);
+    shard->mState = Requests::MakeState(self, i);
+    shard->mRandom.mState = RandomSeed();
+    mShards.push_back(std::move(shard));
+  }
+}
+
+size_t
+RequestPath::ShardOf(const Base::Endpoint& aUpstream) const
+{
+  return Base::StableHash({ Base::Pack(aUpstream) }) % mShards.size();
+}
+
+std::optional<Base::Endpoint>
+RequestPath::SelectUpstream(const Membership::View& aView,
+                            const Config::ServiceView& aService,
+                            const Base::Endpoint& aCaller) const
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  std::optional<Base::Endpoint> best;
+  std::pair<bool, uint64_t> bestScore;
+  for (const Membership::Upstream& upstream : aView.mUpstreams) {
+    if (upstream.mGeneration != aService.mGeneration || !Membership::TakesNewWork(upstream, now)) {
+      continue;
+    }
+    const bool isNear = upstream.mAvailabilityZone == aView.mAvailabilityZone;
+    const std::pair<bool, uint64_t> score(
+      isNear, Base::StableHash({ Base::Pack(aCaller), Base::Pack(upstream.mEndpoint) }));
+    if (!best.has_value() || score > bestScore) {
+      best = upstream.mEndpoint;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+Requests::Settings
+RequestPath::SettingsFor(size_t aShard) const
+{
+  Requests::Settings settings = mSettings;
+  for (size_t i = 0; i < mShards.size(); ++i) {
+    if (i != aShard) {
+      settings.mMaxFlows = Rest(settings.mMaxFlows, mShards[i]->mFlows);
+      settings.mMaxAnswerBytes = Rest(settings.mMaxAnswerBytes, mShards[i]->mAnswerBytes);
+    }
+  }
+  return settings;
+}
+
+/// Runs a decision of one shard under its lock and carries it out without the lock. Packets of two
+/// decisions may leave in another order than the decisions were made, as on any network.
+template<typename Decision>
+void
+RequestPath::Decide(size_t aShard, const Decision& aDecision)
+{
+  Shard& shard = *mShards[aShard];
+  const Requests::Settings settings = SettingsFor(aShard);
+  std::shared_ptr<const Membership::View> view;
+  Requests::Effects effects;
+  {
+    const std::lock_guard<std::mutex> lock(shard.mMutex);
+    view = shard.mView.Load();
+    const Requests::Context context{
+      *view, *shard.mServices.Load(), settings, Base::RuntimeClock::now(), shard.mRandom
+    };
+    effects = aDecision(shard.mState, context);
+    shard.mFlows = shard.mState.mFlows.mFlows.size();
+    shard.mAnswerBytes = shard.mState.mAnswers.mBytes + shard.mState.mAssemblyBytes;
+  }
+  CarryOut(*view, effects);
+}
+
+void
+RequestPath::Count(Requests::Event aEvent)
+{
+  mCounters[static_cast<size_t>(aEvent)]->Add();
+}
+
+void
+RequestPath::CarryOut(const Membership::View& aView, const Requests::Effects& aEffects)
+{
+  for (Requests::Event event : aEffects.mEvents) {
+    Count(event);
+  }
+  for (const Requests::ToUpstream& packet : aEffects.mToUpstreams) {
+    mPorts.mToUpstream(packet.mUpstream, ToProxyAddresses(packet.mAddresses), packet.mPayload);
+  }
+  for (const Requests::ToCaller& packet : aEffects.mToCallers) {
+    mPorts.mToCaller(Wire::Reversed(ToProxyAddresses(packet.mAddresses)), packet.mPayload);
+  }
+  for (const Requests::ToPeer& packet : aEffects.mToPeers) {
+    const Membership::Member* peer = Membership::FindMember(aView, packet.mInstance);
+    if (peer == nullptr) {
+      mPeerGone.Add();
+      continue;
+    }
+    mPorts.mToPeer(peer->mPeerEndpoint, lw::peer::REQUESTS, packet.mPayload);
+  }
+}
+
+void
+RequestPath::HandleCallerPacket(const Config::ServiceView& aService,
+                                const Wire::ProxyAddresses& aAddresses,
+                                absl::string_view aPayload)
+{
+  const absl::StatusOr<Requests::CallerMessage> message =
+    Requests::DecodeCallerPacket(mSettings.mTicketKey, ToFlowAddresses(aAddresses), aPayload);
+  if (!message.ok()) {
+    Count(Requests::ToEvent(message.status()));
+    return;
+  }
+  std::optional<Base::Endpoint> upstream;
+  if (message->mPacket.has_open()) {
+    upstream = SelectUpstream(*mView.Load(), aService, aAddresses.mSource);
+  }
+  const Base::Endpoint key = upstream.value_or(message->mTicket.mUpstream);
+  Decide(ShardOf(key), [&](Requests::State& aState, const Requests::Context& aContext) {
+    return Requests::HandleCallerMessage(aState, aContext, *message, upstream);
+  });
+}
+
+void
+RequestPath::HandleUpstreamPacket(const Config::ServiceView& /*aService*/,
+                                  const Base::Endpoint& aUpstream,
+                                  absl::string_view aPayload)
+{
+  lw::upstream::FromUpstream packet;
+  if (!packet.ParseFromArray(aPayload.data(), static_cast<int>(aPayload.size()))) {
+    Count(Requests::Event::DropMalformed);
+    return;
+  }
+  Decide(ShardOf(aUpstream), [&](Requests::State& aState, const Requests::Context& aContext) {
+    return Requests::HandleUpstreamPacket(aState, aContext, aUpstream, packet);
+  });
+}
+
+void
+RequestPath::HandlePeerPayload(const PeerSender& /*aSender*/, absl::string_view aPayload)
+{
+  const absl::StatusOr<Requests::PeerMessage> message =
+    Requests::DecodePeerPayload(mSettings.mTicketKey, aPayload);
+  if (!message.ok()) {
+    Count(Requests::ToEvent(message.status()));
+    return;
+  }
+  const auto handle = [&](Requests::State& aState, const Requests::Context& aContext) {
+    return Requests::HandlePeerMessage(aState, aContext, *message);
+  };
+  if (message->mUpstream.has_value()) {
+    Decide(ShardOf(*message->mUpstream), handle);
+    return;
+  }
+  for (size_t shard = 0; shard < mShards.size(); ++shard) {
+    Decide(shard, handle);
+  }
+}
+
+void
+RequestPath::Tick()
+{
+  size_t flows = 0;
+  for (size_t shard = 0; shard < mShards.size(); ++shard) {
+    Decide(shard, [](Requests::State& aState, const Requests::Context& aContext) {
+      return Requests::Tick(aState, aContext);
+    });
+    flows += mShards[shard]->mFlows;
+  }
+  mOpenFlows.Set(static_cast<int64_t>(flows));
+}
+
+void
+RequestPath::BeginShutdown()
+{
+  for (size_t shard = 0; shard < mShards.size(); ++shard) {
+    Decide(shard, [](Requests::State& aState, const Requests::Context& aContext) {
+      return Requests::BeginLeave(aState, aContext);
+    });
+  }
+}
+
+bool
+RequestPath::IsDrained() const
+{
+  return std::all_of(mShards.begin(), mShards.end(), [](const std::unique_ptr<Shard>& aShard) {
+    const std::lock_guard<std::mutex> lock(aShard->mMutex);
+    return Requests::IsDrained(aShard->mState);
+  });
+}
+
+} // namespace Entry
