Send a draining upstream no requests after a grace of 1 s

Cause: requests of old flows went to a draining upstream until it left, against P6, and the last ones could be cut off. Conclusion: the owner refuses repeatable requests with "flow gone" and others with "not run", so that callers open a new flow.

--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -130,9 +130,9 @@
   Call& call = state.mCalls.at(key);
   const Base::TimePoint now = aWork.mContext.mNow;
   const Flow* flow = FindFlow(state.mFlows, key.mFlow);
-  const Membership::Upstream* upstream = Membership::FindUpstream(
-    aWork.mContext.mView, call.mUpstream.mEndpoint, call.mUpstream.mGeneration);
-  const bool isUsable = upstream != nullptr && Membership::IsUsable(*upstream, now);
+  const auto queue = state.mQueues.find(call.mUpstream);
+  const bool isUsable =
+    queue != state.mQueues.end() && TakesRequests(queue->second, call.mUpstream, aWork.mContext);
   if (flow == nullptr || !isUsable || call.mDeadline <= now) {
     const bool isLate = call.mDeadline <= now;
     DropAttempt(state, call, aNumber);
@@ -166,7 +166,15 @@
   }
 }
 
-/// \return the queue with the present policy of the service, or nullptr if the service is gone.
+} // namespace
+
+lw::caller::Outcome
+RefusalOutcome(Event aReason, bool aIsRepeatable)
+{
+  const bool needsFlow = aReason == Event::RefuseUpstreamGone && aIsRepeatable;
+  return needsFlow ? lw::caller::FLOW_GONE : lw::caller::NOT_RUN;
+}
+
 UpstreamQueue*
 QueueOf(Work& aWork, const UpstreamKey& aKey, const Base::Endpoint& aService)
 {
@@ -181,17 +189,9 @@
   }
   if (isNew) {
     ReportUpstream(entry->second, aKey, aWork.mContext);
+    NoteDraining(entry->second, aKey, aWork.mContext, true);
   }
-  return &entry->second;
-}
-
-} // namespace
-
-lw::caller::Outcome
-RefusalOutcome(Event aReason, bool aIsRepeatable)
-{
-  const bool needsFlow = aReason == Event::RefuseUpstreamGone && aIsRepeatable;
-  return needsFlow ? lw::caller::FLOW_GONE : lw::caller::NOT_RUN;
+  return TakesRequests(entry->second, aKey, aWork.mContext) ? &entry->second : nullptr;
 }
 
 void
--- a/src/libs/requests/attempts.h
+++ b/src/libs/requests/attempts.h
@@ -25,7 +25,12 @@
 lw::caller::Outcome
 RefusalOutcome(Event aReason, bool aIsRepeatable);
 
-/// Puts a request without attempts into the queue of its upstream.
+/// \return the queue with the present policy of the service, or nullptr if the service is gone or
+/// the upstream takes no requests.
+UpstreamQueue*
+QueueOf(Work& aWork, const UpstreamKey& aKey, const Base::Endpoint& aService);
+
+/// Puts a new attempt of a request into the queue of its upstream.
 void
 OfferCall(Work& aWork, const CallKey& aKey);
 
--- a/src/libs/requests/owner.cpp
+++ b/src/libs/requests/owner.cpp
@@ -43,28 +43,19 @@
   return aHandover.mIsLeaving && !aHandover.mSuccessor.has_value();
 }
 
-bool
-IsUsableNow(const Context& aContext, const Flow& aFlow)
-{
-  const Membership::Upstream* upstream =
-    Membership::FindUpstream(aContext.mView, aFlow.mUpstream, aFlow.mGeneration);
-  return upstream != nullptr && Membership::IsUsable(*upstream, aContext.mNow);
-}
-
 /// \return the reason to refuse a new request before it is queued, or None.
 Event
-CheckNewRequest(const Work& aWork, const Flow& aFlow, const lw::caller::Request& aRequest)
+CheckNewRequest(Work& aWork, const Flow& aFlow, const lw::caller::Request& aRequest)
 {
-  const auto& services = aWork.mContext.mServices.mByAddress;
-  const auto service = services.find(aFlow.mAddresses.mService);
   if (IsLeavingAlone(aWork.mState.mHandover)) {
     return Event::RefuseShutdown;
   }
-  if (service == services.end() || service->second->mGeneration != aFlow.mGeneration ||
-      !IsUsableNow(aWork.mContext, aFlow)) {
+  const UpstreamKey key{ aFlow.mUpstream, aFlow.mGeneration };
+  const UpstreamQueue* queue = QueueOf(aWork, key, aFlow.mAddresses.mService);
+  if (queue == nullptr) {
     return Event::RefuseUpstreamGone;
   }
-  if (!HasKind(*service->second, aRequest.kind())) {
+  if (!HasKind(*queue->mService, aRequest.kind())) {
     return Event::RefuseUnknownKind;
   }
   return aRequest.deadline_ms() == 0 ? Event::RefuseDeadlineTooShort : Event::None;
--- a/src/libs/requests/policy.cpp
+++ b/src/libs/requests/policy.cpp
@@ -7,6 +7,14 @@
 
 namespace Requests::Internal {
 
+namespace {
+
+// A leaving upstream must get no new work after 3 s. Its announcement takes up to 1 s to get here,
+// and the second that remains lets the last request finish.
+constexpr std::chrono::seconds kDrainGrace{ 1 };
+
+} // namespace
+
 void
 SetPolicy(UpstreamQueue& aQueue, const std::shared_ptr<const Config::ServiceView>& aService)
 {
@@ -43,6 +51,28 @@
   Admission::Report(aQueue.mScheduler, upstream->mSlots, upstream->mLoad, aContext.mNow);
 }
 
+void
+NoteDraining(UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext, bool aIsNew)
+{
+  const Membership::Upstream* upstream =
+    Membership::FindUpstream(aContext.mView, aKey.mEndpoint, aKey.mGeneration);
+  if (upstream == nullptr || upstream->mState != Membership::UpstreamState::Draining) {
+    aQueue.mClosedFrom.reset();
+  } else if (!aQueue.mClosedFrom.has_value()) {
+    // It is not known how long an upstream without requests has been draining.
+    aQueue.mClosedFrom = aIsNew ? aContext.mNow : aContext.mNow + kDrainGrace;
+  }
+}
+
+bool
+TakesRequests(const UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext)
+{
+  const Membership::Upstream* upstream =
+    Membership::FindUpstream(aContext.mView, aKey.mEndpoint, aKey.mGeneration);
+  const bool isClosed = aQueue.mClosedFrom.has_value() && aContext.mNow >= *aQueue.mClosedFrom;
+  return upstream != nullptr && !isClosed && Membership::IsUsable(*upstream, aContext.mNow);
+}
+
 bool
 TakeRetryFor(Work& aWork, const Call& aCall)
 {
--- a/src/libs/requests/policy.h
+++ b/src/libs/requests/policy.h
@@ -22,6 +22,15 @@
 void
 ReportUpstream(UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext);
 
+/// Notes when a draining upstream must get no more requests.
+/// \param aIsNew tells that the queue has just been made, so that no request was waiting for it.
+void
+NoteDraining(UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext, bool aIsNew);
+
+/// \return true if requests may be sent to the upstream now.
+bool
+TakesRequests(const UpstreamQueue& aQueue, const UpstreamKey& aKey, const Context& aContext);
+
 /// Takes a retry from the budget of the call's service and counts the result.
 /// \return false if the budget is spent.
 bool
--- a/src/libs/requests/progress.cpp
+++ b/src/libs/requests/progress.cpp
@@ -129,6 +129,7 @@
       continue;
     }
     ReportUpstream(queue->second, key, context);
+    NoteDraining(queue->second, key, context, false);
     aWork.mPending.emplace_back(
       key, Admission::Tick(queue->second.mScheduler, queue->second.mPolicy, context.mNow));
     ++queue;
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -64,6 +64,8 @@
   Base::TimePoint mReportedLeaseEnd;
   /// Attempts that are queued or running.
   uint32_t mOpenAttempts = 0;
+  /// Time from which a draining upstream gets no more requests of its old flows.
+  std::optional<Base::TimePoint> mClosedFrom;
 };
 
 /// One dispatch, or the wait for it in the scheduler's queue. A retry is a new attempt with a new
--- a/tests/auto/requests/tst_owner.cpp
+++ b/tests/auto/requests/tst_owner.cpp
@@ -236,6 +236,25 @@
   CHECK_TRUE(HasOutcome(mNode.Caller(MakeRequest(mFlow, 2, true)), lw::caller::FLOW_GONE));
 }
 
+// Guards against new work for a draining upstream after 3 s (P6), and against requests cut off at
+// once.
+TEST(Owner, DrainingUpstreamGetsNoWorkAfterItsGrace)
+{
+  mNode.mView.mUpstreams[0].mSlots = 3;
+  mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
+  const lw::upstream::WorkId running = Dispatch(1);
+  mNode.mView.mUpstreams[0].mState = Membership::UpstreamState::Draining;
+  mNode.Tick();
+  Dispatch(2);
+  mNode.Advance(milliseconds(999));
+  Dispatch(3);
+  mNode.Advance(milliseconds(1));
+  CHECK_TRUE(HasOutcome(mNode.Caller(MakeRequest(mFlow, 4, false)), lw::caller::NOT_RUN));
+  CHECK_TRUE(HasOutcome(mNode.Caller(MakeRequest(mFlow, 5, true)), lw::caller::FLOW_GONE));
+  CHECK_TRUE(Counts(mNode.Caller(MakeOpen(5)), Event::OpenNoUpstream));
+  UNSIGNED_LONGS_EQUAL(1, PiecesIn(mNode.Upstream(MakePiece(running, 0, 1, "a"))).size());
+}
+
 // Guards against a flow table above its bound, and against flows that are never dropped.
 TEST(Owner, FullFlowTableRefusesNewFlows)
 {
