--- /dev/null
+++ b/scripts/scenario.py
@@ -0,0 +1,129 @@
+"""Runs callers against a small system on loopback while events happen, and checks the recorded history."""
+
+import json
+import subprocess
+import time
+
+import history_check
+import localsystem
+
+ZONES = ["zone-a", "zone-b", "zone-c"]
+ENTRIES_PER_ZONE = 2
+CONTROLS = 3
+COUNTER = {
+    "name": "counter",
+    "address": "192.0.2.10:4000",
+    "kind": "REQUEST",
+    "work_kinds": [
+        {"name": "buyback", "share_permille": 500, "urgency": 2},
+        {"name": "lookup", "share_permille": 400, "urgency": 1},
+    ],
+}
+EXPORT = {
+    "name": "export",
+    "address": "192.0.2.20:4000",
+    "kind": "OPAQUE",
+    "opening_mark": "QUIC",
+    "max_flow_idle_seconds": 300,
+}
+# Name, service, availability zone, whether the service takes requests.
+UPSTREAMS = [
+    ("counter-1", "counter", "zone-a", True),
+    ("counter-2", "counter", "zone-b", True),
+    ("export-1", "export", "zone-b", False),
+    ("export-2", "export", "zone-c", False),
+]
+# Hold time of a new upstream plus its first announcements.
+WARM_UP_SECONDS = 8
+
+# Counts that must be 0 whatever fails.
+SAFETY = {
+    "misdelivered_packets": "a packet never reaches another service",
+    "wrong_answers": "a caller gets the whole answer to its own request",
+    "double_runs": "a request that may not be repeated runs at most once",
+    "false_not_run": "a refusal that says not run is true",
+    "answers_without_run": "an answer comes from a run of its request",
+}
+
+
+class Scenario:
+    """One run: the system, its processes by name, and the load."""
+
+    def __init__(self, bin_folder, work_folder, load_seconds, fabric_arguments=()):
+        self.load_seconds = load_seconds
+        self.fabric_arguments = fabric_arguments
+        self.system = localsystem.LocalSystem(
+            bin_folder, work_folder, ZONES, ENTRIES_PER_ZONE, CONTROLS
+        )
+        self.controls = []
+        self.entries = []
+        self.upstreams = {}
+
+    def start(self):
+        self.controls = self.system.start_controls()
+        self.entries = self.system.start_entries()
+        self.system.start_fabric([COUNTER["address"], EXPORT["address"]], self.fabric_arguments)
+        self.system.apply_service(COUNTER)
+        version = self.system.apply_service(EXPORT)
+        if not self.system.wait_in_force(version, len(self.entries)):
+            raise RuntimeError("the configuration did not come into force")
+        for upstream in UPSTREAMS:
+            self.add_upstream(*upstream)
+        time.sleep(WARM_UP_SECONDS)
+
+    def add_upstream(self, name, service, zone, request_service):
+        self.upstreams[name] = self.system.start_upstream(name, service, zone, request_service)
+
+    def _caller_arguments(self):
+        return [
+            f"--opaque_ingress={self.system.ingresses[EXPORT['address']]}",
+            "--opaque_service=export",
+            "--opaque_flows=200",
+            f"--request_ingress={self.system.ingresses[COUNTER['address']]}",
+            "--request_service=counter",
+            "--request_flows=12",
+            f"--seconds={self.load_seconds}",
+        ]
+
+    def run_load(self, events):
+        """Runs the callers and calls each event, a pair of seconds since the start and a callable."""
+        caller = subprocess.Popen(
+            self.system.caller_command("caller", self._caller_arguments()),
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        started = time.monotonic()
+        for at, event in sorted(events, key=lambda pair: pair[0]):
+            time.sleep(max(0.0, started + at - time.monotonic()))
+            event()
+        output, _ = caller.communicate(timeout=self.load_seconds + 30)
+        return json.loads(output)
+
+    def run(self, make_events):
+        """Starts the system, runs the load with the events of make_events(self), and stops everything."""
+        started = time.monotonic()
+        try:
+            self.start()
+            result = self.run_load(make_events(self))
+        finally:
+            codes = self.system.stop_all()
+        result.update(history_check.check(self.system.folder))
+        result["bad_exit_codes"] = {name: code for name, code in codes.items() if code != 0}
+        result["imbalance_max_over_mean"] = round(imbalance(result["flows_per_upstream"]), 3)
+        result["duration_seconds"] = round(time.monotonic() - started, 1)
+        return result
+
+
+def imbalance(flows_per_upstream):
+    counts = list(flows_per_upstream.values())
+    return max(counts) / (sum(counts) / len(counts)) if counts else 0.0
+
+
+def violations(result, promises):
+    """Returns the promises whose count is not 0, and a load that did not run."""
+    found = {name: result[name] for name in promises if result[name] != 0}
+    if result["bad_exit_codes"]:
+        found["bad_exit_codes"] = result["bad_exit_codes"]
+    if result["requests"] == 0 or result["answered"] == 0 or result["echoes"] == 0:
+        found["load"] = "no request or no packet was served"
+    return found
