--- a/src/libs/placement/shard.cpp
+++ b/src/libs/placement/shard.cpp
@@ -11,10 +11,10 @@
 IsTracked(const ServiceShard& aService, uint16_t aSlot, Base::TimePoint aNow)
 {
   const Slot& slot = aService.mTable->mSlots[aSlot];
-  if (slot.mAmbiguous || slot.mCurrent == kNoUpstream) {
-    return slot.mAmbiguous;
+  if (slot.mCurrent == kNoUpstream) {
+    return false; // Nothing has been placed in it yet.
   }
-  return !TakesNewFlows(aService.mByIndex[slot.mCurrent], aService.mSettings, aNow);
+  return slot.mAmbiguous || !TakesNewFlows(aService.mByIndex[slot.mCurrent], aService.mSettings, aNow);
 }
 
 void
--- a/src/libs/placement/tablecopy.cpp
+++ b/src/libs/placement/tablecopy.cpp
@@ -163,6 +163,9 @@
       effects.mSend.push_back({ aSender, std::move(answer) });
       return effects;
     case PlacementMessage::kTableRequest:
+      if (aCopy.mTable.mVersion.mEpoch == 0) {
+        return effects; // There is nothing to take over.
+      }
       *answer.mutable_table_state() = EncodeState(aCopy.mTable);
       effects.mSend.push_back({ aSender, std::move(answer) });
       return effects;
--- /dev/null
+++ b/src/tools/measure/fakecluster.cpp
@@ -0,0 +1,315 @@
+#include "measure/fakecluster.h"
+
+#include "measure/fakeinstance.h"
+
+#include <algorithm>
+
+namespace Measure {
+
+namespace {
+
+constexpr Base::Duration kLease = 5s;
+constexpr Base::Duration kRenewal = 1s;
+constexpr Base::Duration kTick = 50ms;
+constexpr Base::Duration kDeathDetection = 5s;
+constexpr Base::Duration kLeaveTime = 3s;
+constexpr Base::Duration kDownTime = 2s;
+constexpr uint32_t kInitialSlots = 3;
+constexpr uint32_t kFirstUpstream = 0x7F000101;
+constexpr uint32_t kFirstCaller = 0x0B000001;
+constexpr uint16_t kPort = 9000;
+
+Base::Duration
+RandomUpTo(Cluster& aCluster, Base::Duration aMax)
+{
+  return Base::Duration(Base::NextBelow(aCluster.mRandom, aMax.count() + 1));
+}
+
+void
+TickForever(Cluster& aCluster, Base::InstanceId aId, Base::Incarnation aIncarnation)
+{
+  const auto found = aCluster.mInstances.find(aId);
+  if (found == aCluster.mInstances.end() || !found->second.mIsRunning ||
+      found->second.mView.mIncarnation != aIncarnation) {
+    return;
+  }
+  TickInstance(aCluster, found->second);
+  At(aCluster, aCluster.mNow + kTick, [&aCluster, aId, aIncarnation] {
+    TickForever(aCluster, aId, aIncarnation);
+  });
+}
+
+// Renewals reach all instances; only changes of state are delayed.
+void
+RenewForever(Cluster& aCluster)
+{
+  for (Membership::Upstream& upstream : aCluster.mUpstreams) {
+    upstream.mLeaseEnd = aCluster.mNow + kLease;
+    for (auto& [id, instance] : aCluster.mInstances) {
+      for (Membership::Upstream& known : instance.mView.mUpstreams) {
+        if (known.mEndpoint == upstream.mEndpoint && known.mGeneration == upstream.mGeneration) {
+          known.mLeaseEnd = upstream.mLeaseEnd;
+        }
+      }
+    }
+  }
+  At(aCluster, aCluster.mNow + kRenewal, [&aCluster] { RenewForever(aCluster); });
+}
+
+void
+SendForever(Cluster& aCluster, size_t aFlow)
+{
+  SendFlowPacket(aCluster, aFlow);
+  // The handshake takes three opening packets, 2 ms apart.
+  const bool isOpening = aCluster.mFlows[aFlow].mPacketsSent < kOpeningPackets;
+  const Base::Duration pause =
+    isOpening ? Base::Duration(2ms) : RandomUpTo(aCluster, aCluster.mOptions.mPacketPause * 2);
+  At(aCluster, aCluster.mNow + pause, [&aCluster, aFlow] { SendForever(aCluster, aFlow); });
+}
+
+Membership::Member*
+FindTrueMember(Cluster& aCluster, Base::InstanceId aId)
+{
+  for (Membership::Member& member : aCluster.mMembers) {
+    if (member.mId == aId) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+void
+RemoveTrueMember(Cluster& aCluster, Base::InstanceId aId)
+{
+  auto& members = aCluster.mMembers;
+  members.erase(
+    std::remove_if(members.begin(),
+                   members.end(),
+                   [aId](const Membership::Member& aMember) { return aMember.mId == aId; }),
+    members.end());
+}
+
+Membership::Upstream*
+FindTrueUpstream(Cluster& aCluster, const Base::Endpoint& aUpstream)
+{
+  for (Membership::Upstream& upstream : aCluster.mUpstreams) {
+    if (upstream.mEndpoint == aUpstream) {
+      return &upstream;
+    }
+  }
+  return nullptr;
+}
+
+void
+SpreadSoon(Cluster& aCluster)
+{
+  SpreadMembership(aCluster, aCluster.mOptions.mMaxViewDelay);
+}
+
+} // namespace
+
+FakeInstance::FakeInstance(uint32_t aRecordCapacity)
+  : mShard{ 0, 1, {}, Placement::FlowTable(aRecordCapacity), Placement::FlowTable(aRecordCapacity) }
+{
+}
+
+void
+At(Cluster& aCluster, Base::TimePoint aTime, std::function<void()> aRun)
+{
+  aCluster.mEvents.push({ aTime, aCluster.mNextOrder++, std::move(aRun) });
+}
+
+void
+Start(Cluster& aCluster, const ClusterOptions& aOptions)
+{
+  aCluster.mOptions = aOptions;
+  aCluster.mRandom.mState = aOptions.mSeed;
+  aCluster.mNow = Base::TimePoint(1000s);
+  for (uint32_t i = 0; i < aOptions.mUpstreams; ++i) {
+    AddUpstream(aCluster);
+  }
+  for (uint32_t id = 1; id <= aOptions.mInstances; ++id) {
+    AddInstance(aCluster, Base::InstanceId(id));
+  }
+  RenewForever(aCluster);
+  constexpr Base::Duration kSettle = 15s; // Slow start takes 10 s.
+  RunFor(aCluster, kSettle);
+  OpenFlows(aCluster, aOptions.mFlows);
+  RunFor(aCluster, 2s);
+}
+
+void
+RunFor(Cluster& aCluster, Base::Duration aTime)
+{
+  const Base::TimePoint end = aCluster.mNow + aTime;
+  while (!aCluster.mEvents.empty() && aCluster.mEvents.top().mAt <= end) {
+    const Cluster::Event event = aCluster.mEvents.top();
+    aCluster.mEvents.pop();
+    aCluster.mNow = event.mAt;
+    event.mRun();
+  }
+  aCluster.mNow = end;
+}
+
+void
+OpenFlows(Cluster& aCluster, uint32_t aCount)
+{
+  for (uint32_t i = 0; i < aCount; ++i) {
+    FakeFlow flow;
+    flow.mCaller = { kFirstCaller + aCluster.mNextCaller++, kPort };
+    aCluster.mFlows.push_back(flow);
+    const size_t index = aCluster.mFlows.size() - 1;
+    At(aCluster, aCluster.mNow + RandomUpTo(aCluster, 1s), [&aCluster, index] {
+      SendForever(aCluster, index);
+    });
+  }
+}
+
+void
+SpreadMembership(Cluster& aCluster, Base::Duration aMaxDelay)
+{
+  const auto members = aCluster.mMembers;
+  const auto upstreams = aCluster.mUpstreams;
+  for (const auto& [id, instance] : aCluster.mInstances) {
+    const Base::InstanceId target = id;
+    At(aCluster,
+       aCluster.mNow + RandomUpTo(aCluster, aMaxDelay),
+       [&aCluster, target, members, upstreams] {
+         const auto found = aCluster.mInstances.find(target);
+         if (found != aCluster.mInstances.end()) {
+           found->second.mView.mMembers = members;
+           found->second.mView.mUpstreams = upstreams;
+           TickInstance(aCluster, found->second);
+         }
+       });
+  }
+}
+
+void
+AddInstance(Cluster& aCluster, Base::InstanceId aId)
+{
+  Membership::Member member;
+  member.mId = aId;
+  member.mIncarnation = Base::Incarnation(Base::NextRandom(aCluster.mRandom));
+  RemoveTrueMember(aCluster, aId);
+  aCluster.mMembers.push_back(member);
+  std::sort(aCluster.mMembers.begin(),
+            aCluster.mMembers.end(),
+            [](const auto& aLeft, const auto& aRight) { return aLeft.mId < aRight.mId; });
+  aCluster.mInstances.erase(aId);
+  const auto entry =
+    aCluster.mInstances.try_emplace(aId, FakeInstance(aCluster.mOptions.mRecordCapacity)).first;
+  FakeInstance& instance = entry->second;
+  instance.mControl =
+    Placement::MakeServiceControl(aCluster.mGeneration, aCluster.mOptions.mSettings);
+  instance.mView.mSelf = aId;
+  instance.mView.mIncarnation = member.mIncarnation;
+  instance.mView.mMembers = aCluster.mMembers;
+  instance.mView.mUpstreams = aCluster.mUpstreams;
+  At(aCluster,
+     aCluster.mNow + RandomUpTo(aCluster, kTick),
+     [&aCluster, aId, incarnation = member.mIncarnation] {
+       TickForever(aCluster, aId, incarnation);
+     });
+  SpreadSoon(aCluster);
+}
+
+void
+KillInstance(Cluster& aCluster, Base::InstanceId aId)
+{
+  aCluster.mInstances.at(aId).mIsRunning = false;
+  At(aCluster, aCluster.mNow + kDeathDetection, [&aCluster, aId] {
+    RemoveTrueMember(aCluster, aId);
+    aCluster.mInstances.erase(aId);
+    SpreadSoon(aCluster);
+  });
+}
+
+void
+LeaveInstance(Cluster& aCluster, Base::InstanceId aId)
+{
+  FindTrueMember(aCluster, aId)->mState = Membership::MemberState::Leaving;
+  SpreadSoon(aCluster);
+  At(aCluster, aCluster.mNow + kLeaveTime, [&aCluster, aId] {
+    RemoveTrueMember(aCluster, aId);
+    aCluster.mInstances.erase(aId);
+    SpreadSoon(aCluster);
+  });
+}
+
+void
+RestartInstance(Cluster& aCluster, Base::InstanceId aId)
+{
+  LeaveInstance(aCluster, aId);
+  At(aCluster, aCluster.mNow + kLeaveTime + kDownTime, [&aCluster, aId] {
+    AddInstance(aCluster, aId);
+  });
+}
+
+Base::Endpoint
+AddUpstream(Cluster& aCluster)
+{
+  Membership::Upstream upstream;
+  upstream.mEndpoint = { kFirstUpstream, kPort };
+  while (FindTrueUpstream(aCluster, upstream.mEndpoint) != nullptr) {
+    ++upstream.mEndpoint.mAddress;
+  }
+  upstream.mGeneration = aCluster.mGeneration;
+  upstream.mSlots = kInitialSlots;
+  upstream.mUsableFrom = aCluster.mNow;
+  upstream.mLeaseEnd = aCluster.mNow + kLease;
+  aCluster.mUpstreams.push_back(upstream);
+  std::sort(
+    aCluster.mUpstreams.begin(),
+    aCluster.mUpstreams.end(),
+    [](const auto& aLeft, const auto& aRight) { return aLeft.mEndpoint < aRight.mEndpoint; });
+  SpreadSoon(aCluster);
+  return upstream.mEndpoint;
+}
+
+void
+DrainUpstream(Cluster& aCluster, const Base::Endpoint& aUpstream)
+{
+  FindTrueUpstream(aCluster, aUpstream)->mState = Membership::UpstreamState::Draining;
+  aCluster.mDrainStart[aUpstream] = aCluster.mNow;
+  SpreadSoon(aCluster);
+}
+
+void
+RemoveUpstream(Cluster& aCluster, const Base::Endpoint& aUpstream)
+{
+  auto& upstreams = aCluster.mUpstreams;
+  upstreams.erase(std::remove_if(upstreams.begin(),
+                                 upstreams.end(),
+                                 [&](const Membership::Upstream& aOther) {
+                                   return aOther.mEndpoint == aUpstream;
+                                 }),
+                  upstreams.end());
+  for (FakeFlow& flow : aCluster.mFlows) {
+    // The flow ended with its upstream; whatever happens to it now counts for nobody.
+    flow.mIsBroken = flow.mIsBroken || flow.mBound == aUpstream;
+    flow.mIsPlainBroken = flow.mIsPlainBroken || flow.mPlainBound == aUpstream;
+  }
+  SpreadSoon(aCluster);
+}
+
+void
+SetWeight(Cluster& aCluster, const Base::Endpoint& aUpstream, uint32_t aWeight)
+{
+  FindTrueUpstream(aCluster, aUpstream)->mSlots = aWeight;
+  SpreadSoon(aCluster);
+}
+
+std::map<Base::Endpoint, uint64_t>
+FlowsByUpstream(const Cluster& aCluster)
+{
+  std::map<Base::Endpoint, uint64_t> counts;
+  for (const FakeFlow& flow : aCluster.mFlows) {
+    if (flow.mBound) {
+      ++counts[*flow.mBound];
+    }
+  }
+  return counts;
+}
+
+} // namespace Measure
--- /dev/null
+++ b/tests/auto/placement/tst_decision.cpp
@@ -0,0 +1,1 @@
+#include <CppUTest/TestHarness.h>
