Keep a slot handed over while the new owner is not in the view yet

Cause: a restarted instance collected its slots from an owner that had not learned of the join. The owner took the unknown member for gone, became owner again, and both answered. The fake cluster no longer lets an older membership replace a newer one.

--- a/src/libs/placement/handover.cpp
+++ b/src/libs/placement/handover.cpp
@@ -139,6 +139,7 @@
       if (known.mState == RoleState::Ready) {
         known.mState = RoleState::HandedOver;
         known.mHandedTo = aTo;
+        known.mSince = aNow;
       }
       isAuthoritative = known.mState == RoleState::HandedOver && known.mHandedTo == aTo;
     }
--- a/src/libs/placement/shard.cpp
+++ b/src/libs/placement/shard.cpp
@@ -103,8 +103,10 @@
   } else if (role.mOwner != owner->mId || role.mOwnerIncarnation != owner->mIncarnation) {
     ChangeOwner(role, *owner, aView, aNow);
   }
+  // A new member may collect before this instance knows of it, hence the wait.
   if (role.mState == RoleState::HandedOver &&
-      Membership::FindMember(aView, role.mHandedTo) == nullptr) {
+      Membership::FindMember(aView, role.mHandedTo) == nullptr &&
+      aNow - role.mSince >= aService.mSettings.mUnknownOwner) {
     role.mState = RoleState::Remote;
     if (role.mOwner == aView.mSelf) {
       StartCollecting(role, nullptr, aView, aNow);
--- a/src/tools/measure/fakecluster.cpp
+++ b/src/tools/measure/fakecluster.cpp
@@ -170,13 +170,17 @@
 {
   const auto members = aCluster.mMembers;
   const auto upstreams = aCluster.mUpstreams;
+  const uint64_t version = ++aCluster.mMembershipVersion;
   for (const auto& [id, instance] : aCluster.mInstances) {
     const Base::InstanceId target = id;
     At(aCluster,
        aCluster.mNow + RandomUpTo(aCluster, aMaxDelay),
-       [&aCluster, target, members, upstreams] {
+       [&aCluster, target, members, upstreams, version] {
          const auto found = aCluster.mInstances.find(target);
-         if (found != aCluster.mInstances.end()) {
+         const bool isNewer =
+           found != aCluster.mInstances.end() && found->second.mMembershipVersion < version;
+         if (isNewer) {
+           found->second.mMembershipVersion = version;
            found->second.mView.mMembers = members;
            found->second.mView.mUpstreams = upstreams;
            TickInstance(aCluster, found->second);
@@ -202,6 +206,7 @@
   FakeInstance& instance = entry->second;
   instance.mControl =
     Placement::MakeServiceControl(aCluster.mGeneration, aCluster.mOptions.mSettings);
+  instance.mMembershipVersion = aCluster.mMembershipVersion;
   instance.mView.mSelf = aId;
   instance.mView.mIncarnation = member.mIncarnation;
   instance.mView.mMembers = aCluster.mMembers;
--- a/src/tools/measure/fakecluster.h
+++ b/src/tools/measure/fakecluster.h
@@ -71,6 +71,8 @@
 
   bool mIsRunning = true;
   Membership::View mView;
+  /// Newest membership that it has seen; an older one never replaces it.
+  uint64_t mMembershipVersion = 0;
   Placement::ServiceControl mControl;
   Placement::Shard mShard;
   struct Held
@@ -114,6 +116,7 @@
   std::vector<FakeFlow> mFlows;
   std::priority_queue<Event, std::vector<Event>, Later> mEvents;
   uint64_t mNextOrder = 0;
+  uint64_t mMembershipVersion = 0;
   uint32_t mNextCaller = 0;
   ClusterCounts mCounts;
 };
