--- a/src/libs/placement/control.cpp
+++ b/src/libs/placement/control.cpp
@@ -72,8 +72,8 @@
             const UsageSource& aUsage,
             Base::TimePoint aNow)
 {
-  aControl.mUpstreams = UpdateUpstreams(
-    aControl.mUpstreams, aView, aControl.mCopy.mTable.mGeneration, aNow);
+  aControl.mUpstreams =
+    UpdateUpstreams(aControl.mUpstreams, aView, aControl.mCopy.mTable.mGeneration, aNow);
   TableEffects effects = TickPublisher(
     aControl.mPublisher, aControl.mCopy, aView, aControl.mUpstreams, aControl.mSettings, aNow);
   const Membership::Member* publisher = PublisherMember(aView);
--- a/src/libs/placement/decision.cpp
+++ b/src/libs/placement/decision.cpp
@@ -207,8 +207,7 @@
 {
   FlowTable* const table = &aContext.mShard.mCache;
   FlowRecord* answer = Find(*table, aContext.mPacket.mFlow);
-  if (answer == nullptr || !IsAlive(aContext, *answer) ||
-      !IsUsable(aContext, answer->mUpstream)) {
+  if (answer == nullptr || !IsAlive(aContext, *answer) || !IsUsable(aContext, answer->mUpstream)) {
     return Forward(aContext.mPacket, aOwner);
   }
   const Base::Duration age = aContext.mNow - answer->mOpened;
--- a/src/libs/placement/handover.cpp
+++ b/src/libs/placement/handover.cpp
@@ -110,8 +110,8 @@
     content.set_parts(parts);
     content.set_authoritative(aAuthoritative);
     for (uint32_t count = 0; count < kRecordsInMessage && flow != aFlows.end(); ++count, ++flow) {
-      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow -
-                                                                             flow->second.mOpened);
+      const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(aNow - flow->second.mOpened);
       content.add_callers(Base::Pack(flow->first));
       content.add_upstreams(Base::Pack(flow->second.mUpstream));
       content.add_ages_ms(static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, UINT32_MAX)));
@@ -145,8 +145,7 @@
     }
     const auto found = flows.find(slot);
     static const std::map<Base::Endpoint, FlowRecord> kNoFlows;
-    WriteSlot(
-      writer, slot, found != flows.end() ? found->second : kNoFlows, isAuthoritative, aNow);
+    WriteSlot(writer, slot, found != flows.end() ? found->second : kNoFlows, isAuthoritative, aNow);
   }
   return std::move(writer.mMessages);
 }
--- a/src/libs/placement/messages.cpp
+++ b/src/libs/placement/messages.cpp
@@ -114,8 +114,7 @@
   for (int i = 0; i < count; ++i) {
     const bool isTarget =
       aChange.targets(i) < result.mUpstreams.size() || aChange.targets(i) == kNoUpstream;
-    const bool isKept =
-      aChange.kept_counts(i) <= static_cast<uint32_t>(aChange.kept_size() - kept);
+    const bool isKept = aChange.kept_counts(i) <= static_cast<uint32_t>(aChange.kept_size() - kept);
     if (aChange.slots(i) >= kSlots || !isTarget || !isKept) {
       return BadMessage("change index out of range");
     }
--- a/src/libs/placement/publisher.cpp
+++ b/src/libs/placement/publisher.cpp
@@ -163,8 +163,8 @@
                                            publisher.mReports.count(aMember.mId) > 0;
                                   });
   const bool mayDecide = hasAll || waited >= aContext.mSettings.mCollectTimeout;
-  if (mayDecide && (holder == aContext.mView.mSelf ||
-                    waited >= aContext.mSettings.mCollectTimeout * 2)) {
+  if (mayDecide &&
+      (holder == aContext.mView.mSelf || waited >= aContext.mSettings.mCollectTimeout * 2)) {
     BecomePublisher(aContext);
     return;
   }
--- a/src/libs/placement/settings.h
+++ b/src/libs/placement/settings.h
@@ -42,8 +42,8 @@
   Base::Duration mCollectTimeout = 500ms;
   /// An owner that is no longer selected hands over unasked after this time.
   Base::Duration mPushAfter = 1s;
-  /// An instance that handed a slot to a member which its view lacks takes the member for gone after
-  /// this time. Long enough for the news of a join to reach all instances.
+  /// An instance that handed a slot to a member which its view lacks takes the member for gone
+  /// after this time. Long enough for the news of a join to reach all instances.
   Base::Duration mUnknownOwner = 3s;
   /// Slow start: a new upstream gets its share in steps over this time.
   Base::Duration mRamp = 10s;
--- a/src/libs/placement/shard.cpp
+++ b/src/libs/placement/shard.cpp
@@ -14,7 +14,8 @@
   if (slot.mCurrent == kNoUpstream) {
     return false; // Nothing has been placed in it yet.
   }
-  return slot.mAmbiguous || !TakesNewFlows(aService.mByIndex[slot.mCurrent], aService.mSettings, aNow);
+  return slot.mAmbiguous ||
+         !TakesNewFlows(aService.mByIndex[slot.mCurrent], aService.mSettings, aNow);
 }
 
 void
--- a/src/libs/placement/slottable.h
+++ b/src/libs/placement/slottable.h
@@ -75,7 +75,8 @@
 {
   Base::ServiceGeneration mGeneration;
   TableVersion mVersion;
-  /// Upstreams that the slots refer to by index. An entry is replaced only when nothing refers to it.
+  /// Upstreams that the slots refer to by index. An entry is replaced only when nothing refers to
+  /// it.
   std::vector<Base::Endpoint> mUpstreams;
   std::vector<Slot> mSlots = std::vector<Slot>(kSlots);
   std::map<uint16_t, std::vector<HistoryEntry>> mHistory;
--- a/src/libs/placement/tablecopy.cpp
+++ b/src/libs/placement/tablecopy.cpp
@@ -119,8 +119,8 @@
   }
   TableEffects effects;
   const bool isNewer = aCopy.mTable.mVersion < table->mVersion;
-  const bool hasNewerChange = aCopy.mTable.mVersion == table->mVersion &&
-                              NewestVersion(aCopy.mTable) < NewestVersion(*table);
+  const bool hasNewerChange =
+    aCopy.mTable.mVersion == table->mVersion && NewestVersion(aCopy.mTable) < NewestVersion(*table);
   if (!isNewer && !hasNewerChange) {
     return effects;
   }
--- a/src/tools/measure/fakeinstance.cpp
+++ b/src/tools/measure/fakeinstance.cpp
@@ -34,22 +34,28 @@
   if (Base::NextUnit(aCluster.mRandom) < aCluster.mOptions.mLoss) {
     return;
   }
-  At(aCluster, aCluster.mNow + MessageDelay(aCluster), [&aCluster, aTo, handle = std::move(aHandle)] {
-    const auto found = aCluster.mInstances.find(aTo);
-    if (found != aCluster.mInstances.end() && found->second.mIsRunning) {
-      handle(found->second);
-    }
-  });
+  At(aCluster,
+     aCluster.mNow + MessageDelay(aCluster),
+     [&aCluster, aTo, handle = std::move(aHandle)] {
+       const auto found = aCluster.mInstances.find(aTo);
+       if (found != aCluster.mInstances.end() && found->second.mIsRunning) {
+         handle(found->second);
+       }
+     });
 }
 
 void
-SendMessages(Cluster& aCluster, Base::InstanceId aSender, const std::vector<Placement::Outgoing>& aSend)
+SendMessages(Cluster& aCluster,
+             Base::InstanceId aSender,
+             const std::vector<Placement::Outgoing>& aSend)
 {
   for (const Placement::Outgoing& outgoing : aSend) {
     aCluster.mCounts.mControlBytes += outgoing.mMessage.ByteSizeLong();
-    Deliver(aCluster, outgoing.mTo, [&aCluster, aSender, message = outgoing.mMessage](FakeInstance& aTarget) {
-      HandleMessage(aCluster, aTarget, aSender, message);
-    });
+    Deliver(aCluster,
+            outgoing.mTo,
+            [&aCluster, aSender, message = outgoing.mMessage](FakeInstance& aTarget) {
+              HandleMessage(aCluster, aTarget, aSender, message);
+            });
   }
 }
 
@@ -140,9 +146,10 @@
       Placement::Packet packet = aPacket;
       ++packet.mHops;
       packet.mLastUpstream = decision.mLastUpstream;
-      Deliver(aCluster, decision.mMember, [&aCluster, aFlow, packet, aAsker](FakeInstance& aTarget) {
-        HandlePacket(aCluster, aTarget, aFlow, packet, aAsker);
-      });
+      Deliver(
+        aCluster, decision.mMember, [&aCluster, aFlow, packet, aAsker](FakeInstance& aTarget) {
+          HandlePacket(aCluster, aTarget, aFlow, packet, aAsker);
+        });
       return;
     }
     case Placement::Verdict::Hold:
@@ -175,8 +182,8 @@
               const PlacementMessage& aMessage)
 {
   if (Placement::IsControlMessage(aMessage)) {
-    const auto effects = Placement::HandleControlMessage(
-      aInstance.mControl, aSender, aMessage, aCluster.mNow);
+    const auto effects =
+      Placement::HandleControlMessage(aInstance.mControl, aSender, aMessage, aCluster.mNow);
     if (effects.ok()) {
       Apply(aCluster, aInstance, *effects);
     }
--- a/tests/auto/placement/tst_cluster.cpp
+++ b/tests/auto/placement/tst_cluster.cpp
@@ -31,33 +31,31 @@
 
 } // namespace
 
-TEST_GROUP(Cluster)
-{
+TEST_GROUP(Cluster){
   // Runs an event after the start, with new flows around it, and checks that no flow broke.
   void CheckNoBrokenFlow(const std::function<void(Cluster&)>& aEvent,
-                         const std::function<void(ClusterOptions&)>& aAdjust = {})
-  {
-    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      ClusterOptions options = SmallOptions(seed);
-      if (aAdjust) {
-        aAdjust(options);
-      }
-      Cluster cluster;
-      Measure::Start(cluster, options);
-      Measure::OpenFlows(cluster, 200);
-      Measure::RunFor(cluster, 500ms);
-      aEvent(cluster);
-      for (int second = 0; second < 10; ++second) {
-        Measure::OpenFlows(cluster, 50);
-        Measure::RunFor(cluster, 1s);
-      }
-      LONGS_EQUAL(0, cluster.mCounts.mBroken);
-      LONGS_EQUAL(0, cluster.mCounts.mLateNewWork);
-      LONGS_EQUAL(0, cluster.mCounts.mMisdelivered);
-      CHECK_TRUE(cluster.mCounts.mDropped * 1000 < cluster.mCounts.mPackets);
-    }
-  }
-};
+                         const std::function<void(ClusterOptions&)>& aAdjust = {}){
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed){ ClusterOptions options = SmallOptions(seed);
+if (aAdjust) {
+  aAdjust(options);
+}
+Cluster cluster;
+Measure::Start(cluster, options);
+Measure::OpenFlows(cluster, 200);
+Measure::RunFor(cluster, 500ms);
+aEvent(cluster);
+for (int second = 0; second < 10; ++second) {
+  Measure::OpenFlows(cluster, 50);
+  Measure::RunFor(cluster, 1s);
+}
+LONGS_EQUAL(0, cluster.mCounts.mBroken);
+LONGS_EQUAL(0, cluster.mCounts.mLateNewWork);
+LONGS_EQUAL(0, cluster.mCounts.mMisdelivered);
+CHECK_TRUE(cluster.mCounts.mDropped * 1000 < cluster.mCounts.mPackets);
+}
+}
+}
+;
 
 // Guards against flows that break while all instances agree.
 TEST(Cluster, BreaksNothingWithoutChanges)
@@ -129,3 +127,99 @@
     Measure::RestartInstance(aCluster, Base::InstanceId(1));
   });
 }
+
+// Guards against an owner that answers by default before it has collected the caches of its peers.
+TEST(Cluster, KeepsCachedFlowsWhenAnOwnerDies)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Cluster cluster;
+    Measure::Start(cluster, SmallOptions(seed));
+    Measure::DrainUpstream(cluster, FirstUpstream(cluster));
+    Measure::RunFor(cluster, 3s);
+    Measure::OpenFlows(cluster, 200);
+    // Each flow sends about 30 packets to 6 instances, so that each record is cached somewhere.
+    Measure::RunFor(cluster, 4s);
+    Measure::KillInstance(cluster, Base::InstanceId(2));
+    Measure::RunFor(cluster, 10s);
+    LONGS_EQUAL(0, cluster.mCounts.mBroken);
+  }
+}
+
+// Guards against new work for a draining upstream while the publisher that should move its slots is
+// dead, and against a change that its successor withdraws after some instances have activated it.
+TEST(Cluster, EndsNewWorkInTimeWhenThePublisherDiesDuringAChange)
+{
+  for (const Base::Duration deathAfter : { 0ms, 250ms, 450ms, 700ms }) {
+    Cluster cluster;
+    Measure::Start(cluster, SmallOptions(11));
+    Measure::DrainUpstream(cluster, FirstUpstream(cluster));
+    Measure::RunFor(cluster, deathAfter);
+    Measure::KillInstance(cluster, Base::InstanceId(1));
+    for (int second = 0; second < 12; ++second) {
+      Measure::OpenFlows(cluster, 50);
+      Measure::RunFor(cluster, 1s);
+    }
+    LONGS_EQUAL(0, cluster.mCounts.mLateNewWork);
+    const Placement::SlotTable& table =
+      cluster.mInstances.at(Base::InstanceId(2)).mControl.mCopy.mTable;
+    for (const Placement::Slot& slot : table.mSlots) {
+      CHECK_TRUE(table.mUpstreams[slot.mCurrent] != FirstUpstream(cluster));
+    }
+  }
+}
+
+// Guards against a table that stays behind after lost messages.
+TEST(Cluster, AgreesOnOneTableDespiteLoss)
+{
+  ClusterOptions options = SmallOptions(5);
+  options.mLoss = 0.2;
+  options.mFlows = 50;
+  Cluster cluster;
+  Measure::Start(cluster, options);
+  Measure::DrainUpstream(cluster, FirstUpstream(cluster));
+  Measure::RunFor(cluster, 6s);
+  const Placement::TableVersion version =
+    cluster.mInstances.at(Base::InstanceId(1)).mControl.mCopy.mTable.mVersion;
+  for (const auto& [id, instance] : cluster.mInstances) {
+    CHECK_TRUE(instance.mControl.mCopy.mTable.mVersion == version);
+  }
+}
+
+// Guards against packets to an address that has passed to another service while an instance still
+// has the oldest possible table.
+TEST(Cluster, SendsNothingToAnAddressOfAnotherService)
+{
+  Cluster cluster;
+  Measure::Start(cluster, SmallOptions(3));
+  const Base::Endpoint address = FirstUpstream(cluster);
+  cluster.mUpstreams.erase(cluster.mUpstreams.begin());
+  Membership::Upstream reused;
+  reused.mEndpoint = address;
+  reused.mGeneration = Base::ServiceGeneration(99);
+  reused.mUsableFrom = cluster.mNow + 6s;
+  reused.mLeaseEnd = cluster.mNow + 100s;
+  // No instance gets news of the removal; the leases that they know run out.
+  Measure::RunFor(cluster, 6s);
+  cluster.mUpstreams.insert(cluster.mUpstreams.begin(), reused);
+  Measure::SpreadMembership(cluster, 3s);
+  Measure::RunFor(cluster, 5s);
+  LONGS_EQUAL(0, cluster.mCounts.mMisdelivered);
+}
+
+// Guards against slots that stay ambiguous, and so cost a record for each flow, long after the last
+// packet for the older upstream.
+TEST(Cluster, EndsAmbiguityWhenTheOlderUpstreamIsIdle)
+{
+  ClusterOptions options = SmallOptions(8);
+  options.mFlows = 0;
+  options.mSettings.mFlowIdle = 4s;
+  Cluster cluster;
+  Measure::Start(cluster, options);
+  Measure::AddUpstream(cluster);
+  Measure::RunFor(cluster, 9s); // Slow start moves the last slots after 7.5 s.
+  CHECK_FALSE(cluster.mInstances.at(Base::InstanceId(1)).mControl.mCopy.mTable.mHistory.empty());
+  Measure::RunFor(cluster, 6s);
+  for (const auto& [id, instance] : cluster.mInstances) {
+    CHECK_TRUE(instance.mControl.mCopy.mTable.mHistory.empty());
+  }
+}
