--- a/src/libs/placement/flowtable.cpp
+++ b/src/libs/placement/flowtable.cpp
@@ -87,6 +87,11 @@
     aTable.mFree = aTable.mNodes[index].mNextInBucket;
     return index;
   }
+  if (aTable.mNodes.size() == aTable.mNodes.capacity()) {
+    // Doubling beyond the bound would waste up to half of the memory.
+    const size_t doubled = std::max<size_t>(aTable.mNodes.size() * 2, kFirstBuckets);
+    aTable.mNodes.reserve(std::min<size_t>(doubled, aTable.mCapacity));
+  }
   aTable.mNodes.emplace_back();
   return static_cast<uint32_t>(aTable.mNodes.size() - 1);
 }
@@ -125,8 +130,10 @@
 Touch(FlowTable& aTable, FlowRecord& aRecord, Base::TimePoint aNow)
 {
   aRecord.mLastUsed = aNow;
-  const uint32_t index = FindIndex(aTable, aRecord.mKey);
-  if (index != kNone && index != aTable.mNewest) {
+  const auto* const record = reinterpret_cast<const char*>(&aRecord);
+  const auto* const nodes = reinterpret_cast<const char*>(aTable.mNodes.data());
+  const auto index = static_cast<uint32_t>((record - nodes) / sizeof(FlowTable::Node));
+  if (index != aTable.mNewest) {
     Unlink(aTable, index);
     LinkAsNewest(aTable, index);
   }
--- a/src/libs/placement/flowtable.h
+++ b/src/libs/placement/flowtable.h
@@ -57,6 +57,7 @@
 Find(FlowTable& aTable, const FlowKey& aKey);
 
 /// Marks a record as used now.
+/// \param aRecord must be one that Find returned for this table.
 void
 Touch(FlowTable& aTable, FlowRecord& aRecord, Base::TimePoint aNow);
 
--- a/src/libs/placement/handover.cpp
+++ b/src/libs/placement/handover.cpp
@@ -130,6 +130,7 @@
   const FlowsBySlot flows = KnownFlows(aShard, aGeneration, aSlots);
   RecordsWriter writer = { aGeneration, aTo, {}, 0 };
   const auto service = aShard.mServices.find(aGeneration);
+  const std::map<Base::Endpoint, FlowRecord> noFlows;
   for (const uint16_t slot : aSlots) {
     bool isAuthoritative = false;
     const bool hasRole =
@@ -144,8 +145,7 @@
       isAuthoritative = known.mState == RoleState::HandedOver && known.mHandedTo == aTo;
     }
     const auto found = flows.find(slot);
-    static const std::map<Base::Endpoint, FlowRecord> kNoFlows;
-    WriteSlot(writer, slot, found != flows.end() ? found->second : kNoFlows, isAuthoritative, aNow);
+    WriteSlot(writer, slot, found != flows.end() ? found->second : noFlows, isAuthoritative, aNow);
   }
   return std::move(writer.mMessages);
 }
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -111,8 +111,8 @@
     }
   }
   plan.mTargets = TargetCounts(plan.mWeights, plan.mCounts);
-  const bool anyTakes =
-    std::any_of(plan.mTargets.begin(), plan.mTargets.end(), [](uint32_t n) { return n > 0; });
+  const bool anyTakes = std::any_of(
+    plan.mTargets.begin(), plan.mTargets.end(), [](uint32_t aCount) { return aCount > 0; });
   if (!anyTakes) {
     return plan;
   }
@@ -197,7 +197,7 @@
       order.push_back(i);
     }
   }
-  const auto rest = [&](size_t i) { return aWeights[i] * kSlots % total; };
+  const auto rest = [&](size_t aIndex) { return aWeights[aIndex] * kSlots % total; };
   std::stable_sort(order.begin(), order.end(), [&](size_t aLeft, size_t aRight) {
     return rest(aLeft) != rest(aRight) ? rest(aLeft) > rest(aRight)
                                        : aPresent[aLeft] > aPresent[aRight];
