Converge on one slot table after a partition

Cause: a publisher with a lower epoch than the other side of a healed partition was ignored without an answer, so the two sides kept different tables. Members now report the newer version. Conclusion: both sides agree within 6 s after the end of a partition.

--- a/src/libs/placement/handover.cpp
+++ b/src/libs/placement/handover.cpp
@@ -309,6 +309,9 @@
         slots.insert(static_cast<uint16_t>(slot));
       }
     }
+    if (slots.empty()) {
+      return std::vector<Outgoing>();
+    }
     return SendSlots(aShard, generation, slots, aSender, aNow);
   }
   if (aShard.mServices.count(generation) == 0) {
--- a/src/libs/placement/messages.h
+++ b/src/libs/placement/messages.h
@@ -9,7 +9,7 @@
 
 namespace Placement {
 
-/// A message to another instance of the availability zone.
+/// A message to another instance of the region.
 struct Outgoing
 {
   Base::InstanceId mTo;
--- a/src/libs/placement/publisher.cpp
+++ b/src/libs/placement/publisher.cpp
@@ -1,6 +1,6 @@
 #include "placement/publisher.h"
 
-#include "base/hash.h"
+#include "placement/fingerprint.h"
 
 #include <algorithm>
 
@@ -23,19 +23,6 @@
   TableEffects mEffects;
 };
 
-uint64_t
-Fingerprint(const Membership::View& aView)
-{
-  uint64_t value = 0;
-  for (const Membership::Member& member : aView.mMembers) {
-    value = Base::StableHash({ value,
-                               member.mId.mValue,
-                               member.mIncarnation.mValue,
-                               static_cast<uint64_t>(member.mState) });
-  }
-  return value;
-}
-
 void
 Send(Context& aContext, Base::InstanceId aTo, PlacementMessage aMessage)
 {
@@ -125,7 +112,7 @@
 BecomePublisher(Context& aContext)
 {
   Publisher& publisher = aContext.mPublisher;
-  uint64_t highest = aContext.mCopy.mHighestEpoch;
+  uint64_t highest = std::max(aContext.mCopy.mHighestEpoch, publisher.mHighestReported);
   for (const auto& [member, versions] : publisher.mReports) {
     highest = std::max({ highest, versions.first.mEpoch, versions.second.mEpoch });
   }
@@ -232,12 +219,21 @@
   return idle;
 }
 
+// After a partition, members of the other side may have a table of a higher epoch. They refuse this
+// publisher's messages and report their version instead.
+bool
+HasSeenNewerPublisher(const Context& aContext)
+{
+  const Publisher& publisher = aContext.mPublisher;
+  return std::max(aContext.mCopy.mHighestEpoch, publisher.mHighestReported) > publisher.mEpoch;
+}
+
 void
 TickPublishing(Context& aContext)
 {
   Publisher& publisher = aContext.mPublisher;
   SlotTable& table = aContext.mCopy.mTable;
-  if (aContext.mCopy.mHighestEpoch > publisher.mEpoch) {
+  if (HasSeenNewerPublisher(aContext)) {
     publisher.mReports.clear();
     EnterPhase(aContext, PublisherPhase::Syncing);
     return;
@@ -289,6 +285,7 @@
   } else if (aMessage.has_version_report() && !aMessage.version_report().from_publisher()) {
     const lw::placement::VersionReport& report = aMessage.version_report();
     aPublisher.mReports[aSender] = { Decode(report.active()), Decode(report.prepared()) };
+    aPublisher.mHighestReported = std::max(aPublisher.mHighestReported, report.highest_epoch());
   } else if (aMessage.has_usage()) {
     aPublisher.mUsageReports[aSender] = aNow;
     const std::string& used = aMessage.usage().used();
@@ -310,7 +307,7 @@
               Base::TimePoint aNow)
 {
   Context context = { aPublisher, aCopy, aView, aUpstreams, aSettings, aNow, {} };
-  const uint64_t membership = Fingerprint(aView);
+  const uint64_t membership = MembershipFingerprint(aView);
   if (membership != aPublisher.mMembership) {
     aPublisher.mMembership = membership;
     aPublisher.mStableSince = aNow;
--- a/src/libs/placement/publisher.h
+++ b/src/libs/placement/publisher.h
@@ -32,6 +32,8 @@
   Base::TimePoint mNextReport;
   /// Newest (active, prepared) versions by member while syncing.
   std::map<Base::InstanceId, std::pair<TableVersion, TableVersion>> mReports;
+  /// Highest epoch that members have reported.
+  uint64_t mHighestReported = 0;
   uint64_t mEpoch = 0;
   uint64_t mCounter = 0;
   Base::TimePoint mPreparedAt;
--- a/src/libs/placement/shard.cpp
+++ b/src/libs/placement/shard.cpp
@@ -1,6 +1,7 @@
 #include "placement/shard.h"
 
 #include "base/hash.h"
+#include "placement/fingerprint.h"
 #include "placement/handover.h"
 
 namespace Placement {
@@ -115,6 +116,22 @@
   }
 }
 
+uint64_t
+TrackedState(const ServiceShard& aService, const Membership::View& aView, Base::TimePoint aNow)
+{
+  const SlotTable& table = *aService.mTable;
+  const TableVersion prepared = table.mPrepared ? table.mPrepared->mVersion : TableVersion();
+  uint64_t value = Base::StableHash({ MembershipFingerprint(aView),
+                                      table.mVersion.mEpoch,
+                                      table.mVersion.mCounter,
+                                      prepared.mEpoch,
+                                      prepared.mCounter });
+  for (const UpstreamStatus& status : aService.mByIndex) {
+    value = Base::StableHash({ value, TakesNewFlows(status, aService.mSettings, aNow) ? 1U : 0U });
+  }
+  return value;
+}
+
 void
 SetStatusByIndex(ServiceShard& aService)
 {
@@ -150,6 +167,17 @@
   service.mUpstreams = aUpstreams;
   service.mSettings = aSettings;
   SetStatusByIndex(service);
+  const uint64_t state = TrackedState(service, aView, aNow);
+  if (state == service.mTrackedState) {
+    // Only the wait of UpdateRole for a new owner can end now; this spares a pass over all slots.
+    for (const auto& [slot, role] : service.mRoles) {
+      if (role.mState == RoleState::HandedOver) {
+        UpdateRole(service, slot, aView, false, aNow);
+      }
+    }
+    return;
+  }
+  service.mTrackedState = state;
   std::set<uint16_t> ended;
   for (uint32_t slot = aShard.mIndex; slot < kSlots; slot += aShard.mCount) {
     const auto index = static_cast<uint16_t>(slot);
--- a/src/libs/placement/shard.h
+++ b/src/libs/placement/shard.h
@@ -62,6 +62,8 @@
   /// Roles of the tracked slots: ambiguous ones, and those whose current upstream takes no new
   /// flows. Bound: kSlots.
   std::map<uint16_t, SlotRole> mRoles;
+  /// Hash of what decides which slots are tracked and who owns them.
+  uint64_t mTrackedState = 0;
 };
 
 /// Packet state of the slots whose index modulo mCount is mIndex, for all services. Each shard has
--- a/src/libs/placement/slottable.h
+++ b/src/libs/placement/slottable.h
@@ -10,7 +10,7 @@
 
 namespace Placement {
 
-/// Slots of one service in one availability zone.
+/// Slots of one service in one region.
 constexpr uint32_t kSlots = 4096;
 
 /// Index that stands for no upstream.
@@ -69,8 +69,8 @@
   std::map<uint16_t, SlotChange> mSlots;
 };
 
-/// Slot table of one service. Owned by the table publisher of the availability zone, copied to all
-/// members; after a failure of the publisher the next one takes the newest copy. Bound: kSlots.
+/// Slot table of one service. Owned by the table publisher of the region, copied to all members;
+/// after a failure of the publisher the next one takes the newest copy. Bound: kSlots.
 struct SlotTable
 {
   Base::ServiceGeneration mGeneration;
--- a/src/libs/placement/tablecopy.cpp
+++ b/src/libs/placement/tablecopy.cpp
@@ -32,11 +32,27 @@
   aEffects.mSend.push_back({ aPublisher, std::move(message) });
 }
 
-// A stale publisher must not change a table after a newer publisher has been seen.
+void
+ReportVersion(const TableCopy& aCopy, Base::InstanceId aTo, TableEffects& aEffects)
+{
+  PlacementMessage message = MessageFor(aCopy);
+  lw::placement::VersionReport& report = *message.mutable_version_report();
+  *report.mutable_active() = Encode(aCopy.mTable.mVersion);
+  *report.mutable_prepared() = Encode(NewestVersion(aCopy.mTable));
+  report.set_highest_epoch(aCopy.mHighestEpoch);
+  aEffects.mSend.push_back({ aTo, std::move(message) });
+}
+
+// A stale publisher must not change a table after a newer publisher has been seen. It is told the
+// newer version, so that it starts again from there.
 bool
-IsStale(TableCopy& aCopy, const TableVersion& aVersion)
+IsStale(TableCopy& aCopy,
+        const TableVersion& aVersion,
+        Base::InstanceId aSender,
+        TableEffects& aEffects)
 {
   if (aVersion.mEpoch < aCopy.mHighestEpoch) {
+    ReportVersion(aCopy, aSender, aEffects);
     return true;
   }
   aCopy.mHighestEpoch = aVersion.mEpoch;
@@ -53,7 +69,7 @@
   TableEffects effects;
   SlotTable& table = aCopy.mTable;
   const TableVersion version = change->mChange.mVersion;
-  if (IsStale(aCopy, version)) {
+  if (IsStale(aCopy, version, aSender, effects)) {
     return effects;
   }
   if (!(NewestVersion(table) < version)) {
@@ -99,7 +115,7 @@
   const TableVersion active = Decode(aReport.active());
   const TableVersion prepared = Decode(aReport.prepared());
   TableEffects effects;
-  if (!aReport.from_publisher() || IsStale(aCopy, std::max(active, prepared))) {
+  if (!aReport.from_publisher() || IsStale(aCopy, std::max(active, prepared), aSender, effects)) {
     return effects;
   }
   effects = AdoptActive(aCopy, aSender, active);
@@ -151,16 +167,15 @@
       return HandlePrepare(aCopy, aSender, aMessage.prepare());
     case PlacementMessage::kActivate: {
       const TableVersion version = Decode(aMessage.activate().version());
-      return IsStale(aCopy, version) ? effects : AdoptActive(aCopy, aSender, version);
+      return IsStale(aCopy, version, aSender, effects) ? effects
+                                                       : AdoptActive(aCopy, aSender, version);
     }
     case PlacementMessage::kVersionReport:
       return HandleReport(aCopy, aSender, aMessage.version_report());
     case PlacementMessage::kTableState:
       return HandleState(aCopy, aSender, aMessage.table_state());
     case PlacementMessage::kVersionQuery:
-      *answer.mutable_version_report()->mutable_active() = Encode(aCopy.mTable.mVersion);
-      *answer.mutable_version_report()->mutable_prepared() = Encode(NewestVersion(aCopy.mTable));
-      effects.mSend.push_back({ aSender, std::move(answer) });
+      ReportVersion(aCopy, aSender, effects);
       return effects;
     case PlacementMessage::kTableRequest:
       if (aCopy.mTable.mVersion.mEpoch == 0) {
--- a/tests/auto/placement/tst_cluster.cpp
+++ b/tests/auto/placement/tst_cluster.cpp
@@ -223,3 +223,38 @@
     CHECK_TRUE(instance.mControl.mCopy.mTable.mHistory.empty());
   }
 }
+
+// Guards against two halves of a partition that keep different tables after it has ended.
+TEST(Cluster, AgreesOnOneTableAfterAPartition)
+{
+  for (const bool lowerSideIsNewer : { false, true }) {
+    Cluster cluster;
+    Measure::Start(cluster, SmallOptions(6));
+    const auto isLow = [](Base::InstanceId aId) { return aId < Base::InstanceId(4); };
+    for (auto& [id, instance] : cluster.mInstances) {
+      std::vector<Membership::Member> side;
+      for (const Membership::Member& member : cluster.mMembers) {
+        if (isLow(member.mId) == isLow(id)) {
+          side.push_back(member);
+        }
+      }
+      instance.mView.mMembers = side;
+    }
+    Measure::RunFor(cluster, 3s);
+    for (auto& [id, instance] : cluster.mInstances) {
+      if (isLow(id) == lowerSideIsNewer) {
+        instance.mView.mUpstreams.front().mState = Membership::UpstreamState::Draining;
+      }
+    }
+    Measure::RunFor(cluster, 3s);
+    const auto versionOf = [&](uint32_t aId) {
+      return cluster.mInstances.at(Base::InstanceId(aId)).mControl.mCopy.mTable.mVersion;
+    };
+    CHECK_TRUE(versionOf(1) != versionOf(6));
+    Measure::SpreadMembership(cluster, 200ms);
+    Measure::RunFor(cluster, 6s);
+    for (uint32_t id = 2; id <= 6; ++id) {
+      CHECK_TRUE(versionOf(id) == versionOf(1));
+    }
+  }
+}
--- a/tests/auto/placement/tst_decision.cpp
+++ b/tests/auto/placement/tst_decision.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-// One instance, alone in its availability zone, so that it owns all slots. Slot kSlot has moved
+// One instance, alone in its region, so that it owns all slots. Slot kSlot has moved
 // from kOld to kNew.
 TEST_GROUP(Decision)
 {
