--- a/src/libs/placement/slottable.cpp
+++ b/src/libs/placement/slottable.cpp
@@ -1,5 +1,6 @@
 #include "placement/slottable.h"
 
+#include "absl/strings/str_cat.h"
 #include "base/hash.h"
 
 #include <algorithm>
@@ -69,6 +70,16 @@
   return std::tie(aLeft.mEpoch, aLeft.mCounter) < std::tie(aRight.mEpoch, aRight.mCounter);
 }
 
+std::string
+ToString(const TableVersion& aVersion)
+{
+  return absl::StrCat(aVersion.mEpoch >> kEpochShift,
+                      ".",
+                      aVersion.mCounter,
+                      " by ",
+                      static_cast<uint32_t>(aVersion.mEpoch));
+}
+
 uint64_t
 MakeEpoch(uint64_t aHighest, Base::InstanceId aPublisher)
 {
--- a/src/libs/placement/slottable.h
+++ b/src/libs/placement/slottable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Placement {
@@ -30,6 +31,10 @@
 bool
 operator<(const TableVersion& aLeft, const TableVersion& aRight);
 
+/// \return "epoch.counter by publisher" for logs.
+std::string
+ToString(const TableVersion& aVersion);
+
 /// \return the epoch after aHighest for this publisher. The low 32 bits hold the publisher's id, so
 /// that two members that both act as publisher never issue the same version.
 uint64_t
--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -107,8 +107,9 @@
   mAnnounce.Stop();
   mMembership.Leave();
   mRequests.BeginShutdown();
-  while (Base::RuntimeClock::now() < start + kLeaveNotice ||
-         (!mRequests.IsDrained() && Base::RuntimeClock::now() < limit)) {
+  while (
+    Base::RuntimeClock::now() < start + kLeaveNotice ||
+    (!(mRequests.IsDrained() && mOpaque.IsHandedOver()) && Base::RuntimeClock::now() < limit)) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   mDatapath.Stop();
--- a/src/tools/entry/opaquepath.h
+++ b/src/tools/entry/opaquepath.h
@@ -2,14 +2,21 @@
 
 #include "base/snapshot.h"
 #include "config/serviceindex.h"
+#include "flowshards.h"
 #include "membership/view.h"
 #include "metrics/registry.h"
 #include "packetports.h"
 #include "peertransport.h"
+#include "placement/control.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
 
 namespace Entry {
 
-/// Packets of opaque services.
+/// Packets of opaque services. Keeps the slot tables and connects them to the flow shards. The lock
+/// of the tables is always taken before that of a shard.
 class OpaquePath
 {
 public:
@@ -29,11 +36,37 @@
   /// Called every 50 ms.
   void Tick();
 
+  /// \return true if no other instance waits for the flow records of this one.
+  bool IsHandedOver() { return mShards.IsHandedOver(*mView.Load()); }
+
 private:
-  const PacketPorts& mPorts;
+  struct Service
+  {
+    Placement::ServiceControl mControl;
+    Base::Endpoint mAddress;
+    std::shared_ptr<const Placement::SlotTable> mPublished;
+  };
+
+  void HandleControl(const PeerSender& aSender, const lw::placement::PlacementMessage& aMessage);
+  void HandleForwarded(const lw::placement::PlacementMessage& aMessage);
+  void HandleAnswer(const lw::placement::PlacementMessage& aMessage);
+  /// \return false if this instance has no such service.
+  bool FindService(Base::ServiceGeneration aGeneration,
+                   Base::Endpoint& aAddress,
+                   bool& aHasOpeningMark);
+  void Apply(Service& aService,
+             const Placement::TableEffects& aEffects,
+             const std::shared_ptr<const Membership::View>& aView);
+  void UpdateServices();
+
   const Base::Snapshot<Membership::View>& mView;
-  Metrics::Counter& mForwarded;
-  Metrics::Counter& mNoUpstream;
+  const Base::Snapshot<Config::ServiceIndex>& mServiceIndex;
+  FlowShards mShards;
+  Metrics::Counter& mMalformed;
+  Metrics::Counter& mUnknownService;
+  std::mutex mMutex;
+  std::map<Base::ServiceGeneration, Service> mServices;
+  uint64_t mServicesRevision = 0;
 };
 
 } // namespace Entry
