--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -278,11 +278,11 @@
   Record(state, aKey, RequestState::Answered, Event::None);
   EndCall(aWork, aKey, aNumber, Admission::WorkOutcome::Canceled);
   const Settings& settings = aWork.mContext.mSettings;
-  const size_t used = std::min(settings.mMaxAnswerBytes, state.mAssemblyBytes);
+  const size_t used = std::min(aWork.mContext.mLimits.mMaxAnswerBytes, state.mAssemblyBytes);
   StoreAnswer(state.mAnswers,
               aKey,
               std::move(pieces),
-              settings.mMaxAnswerBytes - used,
+              aWork.mContext.mLimits.mMaxAnswerBytes - used,
               aWork.mContext.mNow + settings.mAnswerLife);
 }
 
--- a/src/libs/requests/handover.cpp
+++ b/src/libs/requests/handover.cpp
@@ -210,7 +210,7 @@
     CountEvent(aWork.mEffects, Event::DropTransferNotForUs);
     return;
   }
-  if (state.mFlows.mFlows.size() >= aWork.mContext.mSettings.mMaxFlows) {
+  if (state.mFlows.mFlows.size() >= aWork.mContext.mLimits.mMaxFlows) {
     CountEvent(aWork.mEffects, Event::DropTransferTableFull);
     return;
   }
--- a/src/libs/requests/owner.cpp
+++ b/src/libs/requests/owner.cpp
@@ -171,7 +171,7 @@
     RefuseOpen(aWork.mEffects, aAddresses, aOpen.open_id(), Event::OpenNoUpstream);
     return;
   }
-  if (state.mFlows.mFlows.size() >= context.mSettings.mMaxFlows) {
+  if (state.mFlows.mFlows.size() >= context.mLimits.mMaxFlows) {
     RefuseOpen(aWork.mEffects, aAddresses, aOpen.open_id(), Event::OpenFlowTableFull);
     return;
   }
--- a/src/libs/requests/progress.cpp
+++ b/src/libs/requests/progress.cpp
@@ -37,7 +37,7 @@
 {
   State& state = aWork.mState;
   Attempt& attempt = state.mAttempts.at(aNumber);
-  const size_t bound = aWork.mContext.mSettings.mMaxAnswerBytes;
+  const size_t bound = aWork.mContext.mLimits.mMaxAnswerBytes;
   const size_t others = state.mAssemblyBytes - attempt.mAnswer.mBytes;
   const size_t bytesBefore = attempt.mAnswer.mBytes;
   const PieceResult result = AddPiece(attempt.mAnswer,
@@ -180,7 +180,7 @@
   TickQueues(aWork);
   Drain(aWork);
   const Context& context = aWork.mContext;
-  TrimAnswers(aWork.mState.mAnswers, context.mSettings.mMaxAnswerBytes, context.mNow);
+  TrimAnswers(aWork.mState.mAnswers, context.mLimits.mMaxAnswerBytes, context.mNow);
   DropIdleFlows(aWork.mState.mFlows, context.mSettings.mFlowIdle, context.mNow);
 }
 
--- a/src/libs/requests/runhistory.cpp
+++ b/src/libs/requests/runhistory.cpp
@@ -27,11 +27,30 @@
   }
 }
 
+/// Cheap to compute, because it is needed at every Tick with all members of the region.
+uint64_t
+DigestOf(const Membership::View& aView)
+{
+  constexpr uint64_t kOddFactor = 0x9E3779B97F4A7C15ULL;
+  uint64_t digest = 1;
+  for (const Membership::Member& member : aView.mMembers) {
+    digest = (digest ^ member.mId.mValue) * kOddFactor;
+    digest = (digest ^ member.mIncarnation.mValue) * kOddFactor;
+    digest = (digest ^ static_cast<uint64_t>(member.mState)) * kOddFactor;
+  }
+  return digest;
+}
+
 } // namespace
 
 bool
 UpdateRuns(RunHistory& aHistory, const Context& aContext)
 {
+  const uint64_t digest = DigestOf(aContext.mView);
+  if (digest == aHistory.mDigest) {
+    return false;
+  }
+  aHistory.mDigest = digest;
   std::map<Run, Membership::MemberState> present;
   bool hasChanged = false;
   for (const Membership::Member& member : aContext.mView.mMembers) {
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -21,13 +21,18 @@
 
 namespace Requests {
 
+/// Bounds of the memory of one shard. A program with several shards passes what the others leave
+/// over.
+struct Limits
+{
+  size_t mMaxFlows = 50000;
+  size_t mMaxAnswerBytes = size_t{ 16 } * 1024 * 1024;
+};
+
 struct Settings
 {
   /// Key of the region for tickets, the same on all its instances.
   std::string mTicketKey;
-  /// Bounds of the shard. A program with several shards passes what the other shards leave over.
-  size_t mMaxFlows = 50000;
-  size_t mMaxAnswerBytes = size_t{ 16 } * 1024 * 1024;
   uint32_t mRetryPermille = 100;
   Base::Duration mFlowIdle = std::chrono::minutes(10);
   Base::Duration mAnswerLife = std::chrono::seconds(10);
@@ -39,6 +44,7 @@
   const Membership::View& mView;
   const Config::ServiceIndex& mServices;
   const Settings& mSettings;
+  Limits mLimits;
   Base::TimePoint mNow;
   Base::RandomSource& mRandom;
 };
@@ -141,8 +147,9 @@
 /// succeeded is told apart from one that is gone. Bounded in entries; rebuilt from the view.
 struct RunHistory
 {
-  /// Members at the last Tick.
+  /// Members at the last Tick, and a digest of them.
   std::map<Run, Membership::MemberState> mMembers;
+  uint64_t mDigest = 0;
   /// Time from which a run that is not in the view counts as gone.
   std::map<Run, Base::TimePoint> mGoneFrom;
 };
--- a/src/libs/requests/transfer.cpp
+++ b/src/libs/requests/transfer.cpp
@@ -158,8 +158,8 @@
       StoreAnswer(state.mAnswers,
                   { number, entry.mNumber },
                   { read.answer().begin(), read.answer().end() },
-                  settings.mMaxAnswerBytes -
-                    std::min(settings.mMaxAnswerBytes, state.mAssemblyBytes),
+                  aWork.mContext.mLimits.mMaxAnswerBytes -
+                    std::min(aWork.mContext.mLimits.mMaxAnswerBytes, state.mAssemblyBytes),
                   now + settings.mAnswerLife);
     }
   }
--- a/src/tools/entry/requestpath.cpp
+++ b/src/tools/entry/requestpath.cpp
@@ -61,7 +61,8 @@
   , mOpenFlows(aMetrics.GaugeFor("lw_request_flows"))
 {
   mSettings.mTicketKey = aSettings.mRegionKey;
-  for (size_t i = 0; i < static_cast<size_t>(Requests::Event::Count); ++i) {
+  mCounters.push_back(nullptr);
+  for (size_t i = 1; i < static_cast<size_t>(Requests::Event::Count); ++i) {
     const char* name = Requests::CounterName(static_cast<Requests::Event>(i));
     mCounters.push_back(&aMetrics.CounterFor(name));
   }
@@ -103,17 +104,17 @@
   return best;
 }
 
-Requests::Settings
-RequestPath::SettingsFor(size_t aShard) const
+Requests::Limits
+RequestPath::LimitsFor(size_t aShard) const
 {
-  Requests::Settings settings = mSettings;
+  Requests::Limits limits;
   for (size_t i = 0; i < mShards.size(); ++i) {
     if (i != aShard) {
-      settings.mMaxFlows = Rest(settings.mMaxFlows, mShards[i]->mFlows);
-      settings.mMaxAnswerBytes = Rest(settings.mMaxAnswerBytes, mShards[i]->mAnswerBytes);
+      limits.mMaxFlows = Rest(limits.mMaxFlows, mShards[i]->mFlows);
+      limits.mMaxAnswerBytes = Rest(limits.mMaxAnswerBytes, mShards[i]->mAnswerBytes);
     }
   }
-  return settings;
+  return limits;
 }
 
 /// Runs a decision of one shard under its lock and carries it out without the lock. Packets of two
@@ -123,15 +124,14 @@
 RequestPath::Decide(size_t aShard, const Decision& aDecision)
 {
   Shard& shard = *mShards[aShard];
-  const Requests::Settings settings = SettingsFor(aShard);
+  const Requests::Limits limits = LimitsFor(aShard);
   std::shared_ptr<const Membership::View> view;
   Requests::Effects effects;
   {
     const std::lock_guard<std::mutex> lock(shard.mMutex);
     view = shard.mView.Load();
-    const Requests::Context context{
-      *view, *shard.mServices.Load(), settings, Base::RuntimeClock::now(), shard.mRandom
-    };
+    const Requests::Context context{ *view,  *shard.mServices.Load(),   mSettings,
+                                     limits, Base::RuntimeClock::now(), shard.mRandom };
     effects = aDecision(shard.mState, context);
     shard.mFlows = shard.mState.mFlows.mFlows.size();
     shard.mAnswerBytes = shard.mState.mAnswers.mBytes + shard.mState.mAssemblyBytes;
@@ -142,7 +142,10 @@
 void
 RequestPath::Count(Requests::Event aEvent)
 {
-  mCounters[static_cast<size_t>(aEvent)]->Add();
+  Metrics::Counter* counter = mCounters[static_cast<size_t>(aEvent)];
+  if (counter != nullptr) {
+    counter->Add();
+  }
 }
 
 void
--- a/src/tools/entry/requestpath.h
+++ b/src/tools/entry/requestpath.h
@@ -75,7 +75,7 @@
   std::optional<Base::Endpoint> SelectUpstream(const Membership::View& aView,
                                                const Config::ServiceView& aService,
                                                const Base::Endpoint& aCaller) const;
-  Requests::Settings SettingsFor(size_t aShard) const;
+  Requests::Limits LimitsFor(size_t aShard) const;
   template<typename Decision>
   void Decide(size_t aShard, const Decision& aDecision);
   void Count(Requests::Event aEvent);
@@ -84,6 +84,7 @@
   Requests::Settings mSettings;
   const PacketPorts& mPorts;
   const Base::Snapshot<Membership::View>& mView;
+  /// By Requests::Event; the first one, Event::None, has no counter.
   std::vector<Metrics::Counter*> mCounters;
   Metrics::Counter& mPeerGone;
   Metrics::Gauge& mOpenFlows;
--- a/src/tools/measure/requestsinstance.cpp
+++ b/src/tools/measure/requestsinstance.cpp
@@ -129,9 +129,8 @@
 Requests::Context
 ContextOf(World& aWorld, Instance& aInstance)
 {
-  return {
-    aInstance.mView, aWorld.mServices, aWorld.mSettings, aWorld.mNetwork.mNow, aInstance.mRandom
-  };
+  return { aInstance.mView,      aWorld.mServices, aWorld.mSettings, {},
+           aWorld.mNetwork.mNow, aInstance.mRandom };
 }
 
 void
--- a/src/tools/measure/requestsmeasure.cpp
+++ b/src/tools/measure/requestsmeasure.cpp
@@ -69,7 +69,7 @@
 Requests::Context
 ContextOf(Bench& aBench)
 {
-  return { aBench.mView, aBench.mServices, aBench.mSettings, aBench.mNow, aBench.mRandom };
+  return { aBench.mView, aBench.mServices, aBench.mSettings, {}, aBench.mNow, aBench.mRandom };
 }
 
 Requests::Effects
--- a/tests/auto/requests/fixture.h
+++ b/tests/auto/requests/fixture.h
@@ -38,6 +38,7 @@
   Membership::View mView;
   Config::ServiceIndex mServices;
   Requests::Settings mSettings;
+  Requests::Limits mLimits;
   Base::TimePoint mNow;
   Base::RandomSource mRandom;
 };
--- a/tests/auto/requests/tst_decoders.cpp
+++ b/tests/auto/requests/tst_decoders.cpp
@@ -104,6 +104,6 @@
     if (packet.ParseFromString(Damage(random, valid))) {
       node.Upstream(packet);
     }
-    CHECK_TRUE(node.mState.mAssemblyBytes <= node.mSettings.mMaxAnswerBytes);
+    CHECK_TRUE(node.mState.mAssemblyBytes <= node.mLimits.mMaxAnswerBytes);
   }
 }
--- a/tests/auto/requests/tst_owner.cpp
+++ b/tests/auto/requests/tst_owner.cpp
@@ -76,7 +76,7 @@
 // Guards against a wrong answer or a second run when the answer is no longer stored.
 TEST(Owner, AnswerThatIsNoLongerStoredIsUnknown)
 {
-  mNode.mSettings.mMaxAnswerBytes = 2000;
+  mNode.mLimits.mMaxAnswerBytes = 2000;
   mNode.Upstream(MakePiece(Dispatch(1), 0, 1, std::string(1500, 'x')));
   mNode.Upstream(MakePiece(Dispatch(2), 0, 1, std::string(1500, 'y')));
   CHECK_TRUE(HasOutcome(mNode.Caller(MakeRequest(mFlow, 1)), lw::caller::OUTCOME_UNKNOWN));
@@ -258,7 +258,7 @@
 // Guards against a flow table above its bound, and against flows that are never dropped.
 TEST(Owner, FullFlowTableRefusesNewFlows)
 {
-  mNode.mSettings.mMaxFlows = 1;
+  mNode.mLimits.mMaxFlows = 1;
   const Requests::Effects effects = mNode.Caller(MakeOpen(2));
   CHECK_TRUE(Counts(effects, Event::OpenFlowTableFull));
   UNSIGNED_LONGS_EQUAL(2, RefusalIn(effects)->open_id());
