Replace the first-in-first-out queue of the scheduler by the admission policy

Cause: one queue for all work let any flood fill the slots of an upstream.

The scheduler now serves kinds and clients within their guarantee first, by urgency, and divides the rest by deficit round robin over slot time. It limits queues by deadline, follows the upstream's concurrency and detects hangs.

--- a/src/libs/admission/scheduler.h
+++ b/src/libs/admission/scheduler.h
@@ -1,30 +1,24 @@
 #pragma once
 
+#include "admission/concurrencylimit.h"
+#include "admission/hangdetection.h"
+#include "admission/workqueue.h"
 #include "base/runtimeclock.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace Admission {
 
-/// A request that waits for a slot of one upstream.
-struct WorkItem
-{
-  /// Number that the caller of this library chose for the request, unique within one Scheduler.
-  uint64_t mId = 0;
-  std::string mKind;
-  std::string mClient;
-  Base::TimePoint mDeadline;
-};
-
 enum class RefusalReason
 {
   QueueFull,
   DeadlineTooShort,
-  DeadlinePassed
+  DeadlinePassed,
+  /// The upstream stopped answering, and the work was not sent to it.
+  UpstreamHung
 };
 
 struct Refused
@@ -68,20 +62,39 @@
   std::vector<Client> mClients;
 };
 
-/// Queue and running work of one upstream. Owned by the upstream's dispatcher and lost with it; its
-/// size is bounded by the deadlines of the queued work.
+/// Dispatched work that has not ended.
+struct RunningWork
+{
+  std::string mKind;
+  std::string mClient;
+  Base::TimePoint mStart;
+  /// Slot time in seconds that was charged at dispatch and is corrected at the end.
+  double mCharged = 0;
+  /// The charge went to the guarantee, of the kind and of the client respectively.
+  bool mKindGuaranteed = false;
+  bool mClientGuaranteed = false;
+};
+
+/// Queue and running work of one upstream. Owned by the upstream's dispatcher and lost with it:
+/// callers time out, and their outcome is unknown. Its size is bounded by the deadlines of the
+/// queued work and by kMaxQueuedForClient for each kind and client of the policy; running work is
+/// bounded by the concurrency limit.
 struct Scheduler
 {
-  uint32_t mSlots = 1;
-  std::deque<WorkItem> mQueue;
-  std::map<uint64_t, Base::TimePoint> mRunning;
+  ConcurrencyLimit mLimit;
+  HangState mHang;
+  std::map<std::string, KindQueue> mKinds;
+  std::string mKindCursor;
+  /// Slot time that each client may use ahead of clients that borrow, in all kinds.
+  std::map<std::string, TokenBucket> mClientGuarantees;
+  std::map<uint64_t, RunningWork> mRunning;
 };
 
 /// Offers a request. It is dispatched, queued or refused.
 Effects
 Offer(Scheduler& aScheduler, const Policy& aPolicy, const WorkItem& aItem, Base::TimePoint aNow);
 
-/// Tells that dispatched work has ended.
+/// Tells that dispatched work has ended. An unknown number is ignored.
 Effects
 Finish(Scheduler& aScheduler,
        const Policy& aPolicy,
@@ -102,4 +115,8 @@
 void
 Report(Scheduler& aScheduler, uint32_t aSlots, uint32_t aLoad, Base::TimePoint aNow);
 
+/// \return true if the upstream stopped answering. New flows should avoid it.
+bool
+IsHung(const Scheduler& aScheduler);
+
 } // namespace Admission
--- /dev/null
+++ b/src/libs/admission/selection.cpp
@@ -0,0 +1,341 @@
+#include "admission/selection.h"
+
+#include "admission/deficit.h"
+
+#include <algorithm>
+
+namespace Admission {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double kFullShare = 1000;
+// Weight of borrowing for kinds and clients without a share.
+constexpr double kMinWeight = 0.001;
+// Burst of a guarantee in seconds of its rate. Long enough for arrivals that come in groups, short
+// against the deadlines of the kinds that wait meanwhile.
+constexpr double kBurstSeconds = 0.2;
+// At least this many items fit into the burst of a kind or client with a share.
+constexpr double kMinBurstItems = 2;
+// Work this many times longer than that of another kind leaves a slot free for it, because a
+// borrowed slot cannot be returned before the work ends.
+constexpr int kLongWorkFactor = 4;
+// A kind without work for this long gives up the slot that long work leaves free for it.
+constexpr Base::Duration kActiveFor = std::chrono::seconds(2);
+
+const Policy::Kind*
+FindKind(const Policy& aPolicy, const std::string& aName)
+{
+  const auto& kinds = aPolicy.mKinds;
+  const auto found = std::find_if(
+    kinds.begin(), kinds.end(), [&](const Policy::Kind& aKind) { return aKind.mName == aName; });
+  return found == kinds.end() ? nullptr : &*found;
+}
+
+const Policy::Client*
+FindClient(const Policy& aPolicy, const std::string& aName)
+{
+  const auto& clients = aPolicy.mClients;
+  const auto found =
+    std::find_if(clients.begin(), clients.end(), [&](const Policy::Client& aClient) {
+      return aClient.mName == aName;
+    });
+  return found == clients.end() ? nullptr : &*found;
+}
+
+double
+KindShare(const Policy& aPolicy, const std::string& aName)
+{
+  const Policy::Kind* kind = FindKind(aPolicy, aName);
+  return kind == nullptr ? 0 : kind->mSharePermille / kFullShare;
+}
+
+double
+ClientShare(const Policy& aPolicy, const std::string& aName)
+{
+  const Policy::Client* client = FindClient(aPolicy, aName);
+  return client == nullptr ? 0 : client->mSharePermille / kFullShare;
+}
+
+uint32_t
+Urgency(const Policy& aPolicy, const std::string& aName)
+{
+  const Policy::Kind* kind = FindKind(aPolicy, aName);
+  return kind == nullptr ? 0 : kind->mUrgency;
+}
+
+// Shares of clients come from terms that grow one by one, so their sum may exceed the service.
+double
+ClientShareScale(const Policy& aPolicy)
+{
+  double sum = 0;
+  for (const Policy::Client& client : aPolicy.mClients) {
+    sum += client.mSharePermille;
+  }
+  return std::min(1.0, kFullShare / std::max(1.0, sum));
+}
+
+bool
+IsActive(const KindQueue& aKind, Base::TimePoint aNow)
+{
+  return aKind.mQueued > 0 || aKind.mRunning > 0 || aNow - aKind.mLastActive < kActiveFor;
+}
+
+// Slots that work of a kind may hold. Long work leaves one free while shorter work with
+// a guarantee is active.
+uint32_t
+MaxRunning(const Scheduler& aScheduler,
+           const Policy& aPolicy,
+           const std::string& aName,
+           size_t aLimit,
+           Base::TimePoint aNow)
+{
+  const auto limit = static_cast<uint32_t>(aLimit);
+  const auto own = aScheduler.mKinds.find(aName);
+  if (limit < 2 || own == aScheduler.mKinds.end()) {
+    return limit;
+  }
+  for (const auto& [name, kind] : aScheduler.mKinds) {
+    const bool shorter = kind.mServiceTime.mSamples > 0 &&
+                         kLongWorkFactor * kind.mServiceTime.mMean < own->second.mServiceTime.mMean;
+    if (shorter && IsActive(kind, aNow) && KindShare(aPolicy, name) > 0) {
+      return limit - 1;
+    }
+  }
+  return limit;
+}
+
+struct KindChoice
+{
+  KindQueue* mKind = nullptr;
+  bool mGuaranteed = false;
+  std::string mName;
+};
+
+KindChoice
+SelectKind(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
+{
+  KindChoice starved;
+  KindChoice urgent;
+  std::vector<DeficitEntry> borrowing;
+  for (auto& [name, kind] : aScheduler.mKinds) {
+    if (kind.mQueued == 0 || kind.mRunning >= MaxRunning(aScheduler, aPolicy, name, aLimit, aNow)) {
+      continue;
+    }
+    const bool guaranteed = kind.mGuarantee.mTokens > 0;
+    if (aNow - kind.mWaitingSince >= kStarvationBound &&
+        (starved.mKind == nullptr || kind.mWaitingSince < starved.mKind->mWaitingSince)) {
+      starved = { &kind, guaranteed, name };
+    }
+    if (guaranteed &&
+        (urgent.mKind == nullptr || Urgency(aPolicy, name) > Urgency(aPolicy, urgent.mName))) {
+      urgent = { &kind, true, name };
+    }
+    borrowing.push_back({ &name, &kind.mDeficit, std::max(kMinWeight, KindShare(aPolicy, name)) });
+  }
+  if (starved.mKind != nullptr) {
+    return starved;
+  }
+  if (urgent.mKind != nullptr || borrowing.empty()) {
+    return urgent;
+  }
+  const std::string name = *borrowing[PickByDeficit(borrowing, aScheduler.mKindCursor)].mName;
+  return { &aScheduler.mKinds[name], false, name };
+}
+
+void
+SelectClient(Scheduler& aScheduler,
+             const Policy& aPolicy,
+             Base::TimePoint aNow,
+             Selection& aSelection)
+{
+  std::vector<DeficitEntry> guaranteed;
+  std::vector<DeficitEntry> all;
+  ClientQueue* starved = nullptr;
+  for (auto& [name, client] : aSelection.mKind->mClients) {
+    if (client.mItems.empty()) {
+      continue;
+    }
+    if (aNow - client.mWaitingSince >= kStarvationBound &&
+        (starved == nullptr || client.mWaitingSince < starved->mWaitingSince)) {
+      starved = &client;
+      aSelection.mClientName = name;
+    }
+    const double weight = std::max(kMinWeight, ClientShare(aPolicy, name));
+    all.push_back({ &name, &client.mDeficit, weight });
+    if (aScheduler.mClientGuarantees[name].mTokens > 0) {
+      guaranteed.push_back(all.back());
+    }
+  }
+  if (starved == nullptr) {
+    const std::vector<DeficitEntry>& entries = guaranteed.empty() ? all : guaranteed;
+    aSelection.mClientName = *entries[PickByDeficit(entries, aSelection.mKind->mCursor)].mName;
+  }
+  aSelection.mClient = &aSelection.mKind->mClients[aSelection.mClientName];
+  aSelection.mClientGuaranteed = aScheduler.mClientGuarantees[aSelection.mClientName].mTokens > 0;
+}
+
+double
+SecondsOf(Base::Duration aDuration)
+{
+  return Seconds(aDuration).count();
+}
+
+// Slots that a kind gets while all active kinds have work.
+double
+SlotsOfKind(const Scheduler& aScheduler,
+            const Policy& aPolicy,
+            const std::string& aName,
+            size_t aLimit,
+            Base::TimePoint aNow)
+{
+  double active = 0;
+  for (const auto& [name, kind] : aScheduler.mKinds) {
+    if (name == aName || kind.mQueued > 0 || kind.mRunning > 0) {
+      active += std::max(kMinWeight, KindShare(aPolicy, name));
+    }
+  }
+  const double own = std::max(kMinWeight, KindShare(aPolicy, aName));
+  const double most = MaxRunning(aScheduler, aPolicy, aName, aLimit, aNow);
+  const double share = std::min(most, static_cast<double>(aLimit) * own / active);
+  // Without a share the kind is still served once in each kStarvationBound.
+  const double mean = SecondsOf(aScheduler.mKinds.at(aName).mServiceTime.mMean);
+  return std::max(share, mean / SecondsOf(kStarvationBound));
+}
+
+double
+PartOfClient(const KindQueue& aKind, const Policy& aPolicy, const std::string& aName)
+{
+  const double own = std::max(kMinWeight, ClientShare(aPolicy, aName));
+  double active = own;
+  for (const auto& [name, client] : aKind.mClients) {
+    if (name != aName && !client.mItems.empty()) {
+      active += std::max(kMinWeight, ClientShare(aPolicy, name));
+    }
+  }
+  return own / active;
+}
+
+template<typename Map, typename Predicate>
+void
+EraseIf(Map& aMap, Predicate aPredicate)
+{
+  for (auto entry = aMap.begin(); entry != aMap.end();) {
+    entry = aPredicate(*entry) ? aMap.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace
+
+std::string
+QueueNameOfKind(const Policy& aPolicy, const std::string& aKind)
+{
+  return FindKind(aPolicy, aKind) == nullptr ? "" : aKind;
+}
+
+std::string
+QueueNameOfClient(const Policy& aPolicy, const std::string& aClient)
+{
+  return FindClient(aPolicy, aClient) == nullptr ? "" : aClient;
+}
+
+void
+RefillGuarantees(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
+{
+  const auto slots = static_cast<double>(aLimit);
+  double longest = 0;
+  for (auto& [name, kind] : aScheduler.mKinds) {
+    const double rate = KindShare(aPolicy, name) * slots;
+    const double mean = SecondsOf(kind.mServiceTime.mMean);
+    const double depth = rate > 0 ? std::max(kBurstSeconds * rate, kMinBurstItems * mean) : 0;
+    Refill(kind.mGuarantee, rate, depth, aNow);
+    longest = std::max(longest, mean);
+  }
+  const double scale = ClientShareScale(aPolicy);
+  for (const Policy::Client& client : aPolicy.mClients) {
+    const double rate = client.mSharePermille / kFullShare * scale * slots;
+    const double burst = rate > 0 ? std::max(kBurstSeconds * rate, kMinBurstItems * longest) : 0;
+    const double depth = burst + client.mSurgeAllowance * longest;
+    Refill(aScheduler.mClientGuarantees[client.mName], rate, depth, aNow);
+  }
+}
+
+void
+DropUnknownQueues(Scheduler& aScheduler, const Policy& aPolicy)
+{
+  const auto isUnknownClient = [&aPolicy](const auto& aEntry) {
+    return FindClient(aPolicy, aEntry.first) == nullptr;
+  };
+  for (auto& [name, kind] : aScheduler.mKinds) {
+    EraseIf(kind.mClients, [&](const auto& aEntry) {
+      return aEntry.second.mItems.empty() && isUnknownClient(aEntry);
+    });
+  }
+  EraseIf(aScheduler.mClientGuarantees, isUnknownClient);
+  EraseIf(aScheduler.mKinds, [&aPolicy](const auto& aEntry) {
+    const KindQueue& kind = aEntry.second;
+    return kind.mQueued == 0 && kind.mRunning == 0 && FindKind(aPolicy, aEntry.first) == nullptr;
+  });
+}
+
+Selection
+SelectNext(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
+{
+  Selection selection;
+  const KindChoice choice = SelectKind(aScheduler, aPolicy, aLimit, aNow);
+  selection.mKind = choice.mKind;
+  selection.mKindName = choice.mName;
+  selection.mKindGuaranteed = choice.mGuaranteed;
+  if (selection.mKind != nullptr) {
+    SelectClient(aScheduler, aPolicy, aNow, selection);
+  }
+  return selection;
+}
+
+void
+Charge(Scheduler& aScheduler, const RunningWork& aWork, double aSeconds)
+{
+  KindQueue& kind = aScheduler.mKinds[aWork.mKind];
+  if (aWork.mKindGuaranteed) {
+    kind.mGuarantee.mTokens -= aSeconds;
+  } else {
+    kind.mDeficit -= aSeconds;
+  }
+  if (aWork.mClientGuaranteed) {
+    aScheduler.mClientGuarantees[aWork.mClient].mTokens -= aSeconds;
+  }
+  kind.mClients[aWork.mClient].mDeficit -= aSeconds;
+}
+
+std::optional<RefusalReason>
+CheckQueue(const Scheduler& aScheduler,
+           const Policy& aPolicy,
+           const QueueName& aName,
+           Base::TimePoint aDeadline,
+           Base::TimePoint aNow)
+{
+  const KindQueue& kind = aScheduler.mKinds.at(aName.mKind);
+  const auto client = kind.mClients.find(aName.mClient);
+  const size_t queued = client == kind.mClients.end() ? 0 : client->second.mItems.size();
+  const Base::Duration remaining = aDeadline - aNow;
+  if (queued >= kMaxQueuedForClient) {
+    return RefusalReason::QueueFull;
+  }
+  if (remaining < kind.mServiceTime.mMean) {
+    return RefusalReason::DeadlineTooShort;
+  }
+  if (queued == 0) {
+    return std::nullopt;
+  }
+  const size_t limit = EffectiveLimit(aScheduler.mLimit, aNow);
+  const double slots = SlotsOfKind(aScheduler, aPolicy, aName.mKind, limit, aNow) *
+                       PartOfClient(kind, aPolicy, aName.mClient);
+  const double wait = static_cast<double>(queued) * SecondsOf(kind.mServiceTime.mMean) / slots;
+  if (wait + SecondsOf(CautiousEstimate(kind.mServiceTime)) > SecondsOf(remaining)) {
+    return RefusalReason::QueueFull;
+  }
+  return std::nullopt;
+}
+
+} // namespace Admission
