Add the flood measurement with two baselines

Cause: section 5 of the design had no figures. lw-measure-flood runs the admission library, and two baselines, against small fakes in simulated time; fake callers, upstreams and dispatchers only, no cluster.

--- /dev/null
+++ b/src/tools/measure/floodmeasure.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "measure/floodplan.h"
+
+#include <cstdint>
+
+namespace Measure {
+
+/// Runs all floods and faults under the policy and two baselines and prints the figures.
+/// \param aJson prints one JSON document instead of text.
+/// \return 0 if the policy meets the targets in all floods at 10 times without a fault,
+/// otherwise 1.
+int
+RunFloodMeasure(uint64_t aSeed, bool aJson);
+
+/// \copydoc RunFloodMeasure(uint64_t, bool)
+int
+RunFloodMeasure(uint64_t aSeed, bool aJson, const FloodSettings& aSettings);
+
+} // namespace Measure
