--- a/src/libs/admission/scheduler.cpp
+++ b/src/libs/admission/scheduler.cpp
@@ -144,7 +144,10 @@
       OnOverload(aScheduler.mLimit, aNow);
       return;
     case WorkOutcome::TimedOut:
-      OnOverload(aScheduler.mLimit, aNow);
+      // Work that was dispatched shortly before its deadline tells nothing about the upstream.
+      if (aTook > CautiousEstimate(aTime)) {
+        OnOverload(aScheduler.mLimit, aNow);
+      }
       return;
     case WorkOutcome::Canceled:
       return;
