--- a/src/libs/admission/scheduler.cpp
+++ b/src/libs/admission/scheduler.cpp
@@ -15,6 +15,9 @@
 // Without any answer there is no usual time; longer than the lease of a silent upstream.
 constexpr Base::Duration kUnknownHangPatience = std::chrono::seconds(6);
 constexpr int kHangFactor = 4;
+// Work that takes longer than this many cautious estimates is a sign of overload. About 1 in 25 items
+// takes longer than one estimate.
+constexpr int kOverloadFactor = 3;
 
 double
 InSeconds(Base::Duration aDuration)
@@ -108,7 +111,7 @@
     }
     const WorkItem item = Pop(*selection.mKind, *selection.mClient, aNow);
     // Work that would end after its deadline wastes the slot.
-    if (item.mDeadline < aNow + selection.mKind->mServiceTime.mMean) {
+    if (item.mDeadline < aNow + CautiousEstimate(selection.mKind->mServiceTime)) {
       const bool passed = item.mDeadline <= aNow;
       aEffects.mRefuse.push_back(
         { item.mId, passed ? RefusalReason::DeadlinePassed : RefusalReason::DeadlineTooShort });
@@ -145,7 +148,7 @@
       return;
     case WorkOutcome::TimedOut:
       // Work that was dispatched shortly before its deadline tells nothing about the upstream.
-      if (aTook > CautiousEstimate(aTime)) {
+      if (aTook > kOverloadFactor * CautiousEstimate(aTime)) {
         OnOverload(aScheduler.mLimit, aNow);
       }
       return;
--- a/src/libs/admission/selection.cpp
+++ b/src/libs/admission/selection.cpp
@@ -322,7 +322,7 @@
   if (queued >= kMaxQueuedForClient) {
     return RefusalReason::QueueFull;
   }
-  if (remaining < kind.mServiceTime.mMean) {
+  if (remaining < CautiousEstimate(kind.mServiceTime)) {
     return RefusalReason::DeadlineTooShort;
   }
   if (queued == 0) {
