--- a/src/tools/measure/floodrunstate.cpp
+++ b/src/tools/measure/floodrunstate.cpp
@@ -11,10 +11,11 @@
 constexpr Base::TimePoint kRunStart(std::chrono::seconds(1000));
 // Left out, so that the slow start of all upstreams is over and estimates have settled.
 constexpr Base::Duration kWarmUp = std::chrono::seconds(15);
-constexpr uint32_t kMinFlows = 4;
-constexpr uint32_t kMaxFlows = 84;
+constexpr uint32_t kMinFlows = 8;
+// About the connections of all hosts, see docs/design.md.
+constexpr uint32_t kMaxFlows = 60000;
 // Requests that a caller sends on one flow in a second.
-constexpr double kFlowRate = 3;
+constexpr double kFlowRate = 0.2;
 
 double
 InSeconds(Base::Duration aDuration)
