--- a/src/libs/admission/scheduler.cpp
+++ b/src/libs/admission/scheduler.cpp
@@ -15,8 +15,8 @@
 // Without any answer there is no usual time; longer than the lease of a silent upstream.
 constexpr Base::Duration kUnknownHangPatience = std::chrono::seconds(6);
 constexpr int kHangFactor = 4;
-// Work that takes longer than this many cautious estimates is a sign of overload. About 1 in 25 items
-// takes longer than one estimate.
+// Work that takes longer than this many cautious estimates is a sign of overload. About 1 in 25
+// items takes longer than one estimate.
 constexpr int kOverloadFactor = 3;
 
 double
--- a/src/libs/admission/scheduler.h
+++ b/src/libs/admission/scheduler.h
@@ -85,8 +85,6 @@
   HangState mHang;
   std::map<std::string, KindQueue> mKinds;
   std::string mKindCursor;
-  /// Slot time that each client may use ahead of clients that borrow, in all kinds.
-  std::map<std::string, TokenBucket> mClientGuarantees;
   std::map<uint64_t, RunningWork> mRunning;
 };
 
--- a/src/libs/admission/selection.cpp
+++ b/src/libs/admission/selection.cpp
@@ -106,6 +106,23 @@
   return limit;
 }
 
+bool
+HasGuaranteedClient(const KindQueue& aKind)
+{
+  return std::any_of(aKind.mClients.begin(), aKind.mClients.end(), [](const auto& aEntry) {
+    return !aEntry.second.mItems.empty() && aEntry.second.mGuarantee.mTokens > 0;
+  });
+}
+
+// Clients that borrow leave half of the kind's burst, so that a client within its share finds the
+// guarantee of the kind unused.
+bool
+IsWithinGuarantee(const KindQueue& aKind)
+{
+  const TokenBucket& bucket = aKind.mGuarantee;
+  return bucket.mTokens > 0 && (bucket.mTokens > bucket.mDepth / 2 || HasGuaranteedClient(aKind));
+}
+
 struct KindChoice
 {
   KindQueue* mKind = nullptr;
@@ -123,7 +140,7 @@
     if (kind.mQueued == 0 || kind.mRunning >= MaxRunning(aScheduler, aPolicy, name, aLimit, aNow)) {
       continue;
     }
-    const bool guaranteed = kind.mGuarantee.mTokens > 0;
+    const bool guaranteed = IsWithinGuarantee(kind);
     if (aNow - kind.mWaitingSince >= kStarvationBound &&
         (starved.mKind == nullptr || kind.mWaitingSince < starved.mKind->mWaitingSince)) {
       starved = { &kind, guaranteed, name };
@@ -164,7 +181,7 @@
     }
     const double weight = std::max(kMinWeight, ClientShare(aPolicy, name));
     all.push_back({ &name, &client.mDeficit, weight });
-    if (aScheduler.mClientGuarantees[name].mTokens > 0) {
+    if (client.mGuarantee.mTokens > 0) {
       guaranteed.push_back(all.back());
     }
   }
@@ -173,7 +190,7 @@
     aSelection.mClientName = *entries[PickByDeficit(entries, aSelection.mKind->mCursor)].mName;
   }
   aSelection.mClient = &aSelection.mKind->mClients[aSelection.mClientName];
-  aSelection.mClientGuaranteed = aScheduler.mClientGuarantees[aSelection.mClientName].mTokens > 0;
+  aSelection.mClientGuaranteed = aSelection.mClient->mGuarantee.mTokens > 0;
 }
 
 double
@@ -217,6 +234,12 @@
   return own / active;
 }
 
+double
+BurstOf(double aRate, double aMean)
+{
+  return aRate > 0 ? std::max(kBurstSeconds * aRate, kMinBurstItems * aMean) : 0;
+}
+
 template<typename Map, typename Predicate>
 void
 EraseIf(Map& aMap, Predicate aPredicate)
@@ -244,20 +267,19 @@
 RefillGuarantees(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
 {
   const auto slots = static_cast<double>(aLimit);
-  double longest = 0;
-  for (auto& [name, kind] : aScheduler.mKinds) {
-    const double rate = KindShare(aPolicy, name) * slots;
-    const double mean = SecondsOf(kind.mServiceTime.mMean);
-    const double depth = rate > 0 ? std::max(kBurstSeconds * rate, kMinBurstItems * mean) : 0;
-    Refill(kind.mGuarantee, rate, depth, aNow);
-    longest = std::max(longest, mean);
-  }
   const double scale = ClientShareScale(aPolicy);
-  for (const Policy::Client& client : aPolicy.mClients) {
-    const double rate = client.mSharePermille / kFullShare * scale * slots;
-    const double burst = rate > 0 ? std::max(kBurstSeconds * rate, kMinBurstItems * longest) : 0;
-    const double depth = burst + client.mSurgeAllowance * longest;
-    Refill(aScheduler.mClientGuarantees[client.mName], rate, depth, aNow);
+  for (auto& [kindName, kind] : aScheduler.mKinds) {
+    const double rate = KindShare(aPolicy, kindName) * slots;
+    const double mean = SecondsOf(kind.mServiceTime.mMean);
+    Refill(kind.mGuarantee, rate, BurstOf(rate, mean), aNow);
+    for (auto& [clientName, client] : kind.mClients) {
+      const Policy::Client* terms = FindClient(aPolicy, clientName);
+      if (terms != nullptr) {
+        const double clientRate = rate * scale * terms->mSharePermille / kFullShare;
+        const double depth = BurstOf(clientRate, mean) + terms->mSurgeAllowance * mean;
+        Refill(client.mGuarantee, clientRate, depth, aNow);
+      }
+    }
   }
 }
 
@@ -272,7 +294,6 @@
       return aEntry.second.mItems.empty() && isUnknownClient(aEntry);
     });
   }
-  EraseIf(aScheduler.mClientGuarantees, isUnknownClient);
   EraseIf(aScheduler.mKinds, [&aPolicy](const auto& aEntry) {
     const KindQueue& kind = aEntry.second;
     return kind.mQueued == 0 && kind.mRunning == 0 && FindKind(aPolicy, aEntry.first) == nullptr;
@@ -297,15 +318,16 @@
 Charge(Scheduler& aScheduler, const RunningWork& aWork, double aSeconds)
 {
   KindQueue& kind = aScheduler.mKinds[aWork.mKind];
+  ClientQueue& client = kind.mClients[aWork.mClient];
   if (aWork.mKindGuaranteed) {
     kind.mGuarantee.mTokens -= aSeconds;
   } else {
     kind.mDeficit -= aSeconds;
   }
   if (aWork.mClientGuaranteed) {
-    aScheduler.mClientGuarantees[aWork.mClient].mTokens -= aSeconds;
+    client.mGuarantee.mTokens -= aSeconds;
   }
-  kind.mClients[aWork.mClient].mDeficit -= aSeconds;
+  client.mDeficit -= aSeconds;
 }
 
 std::optional<RefusalReason>
--- a/src/libs/admission/tokenbucket.cpp
+++ b/src/libs/admission/tokenbucket.cpp
@@ -7,6 +7,7 @@
 void
 Refill(TokenBucket& aBucket, double aRate, double aDepth, Base::TimePoint aNow)
 {
+  aBucket.mDepth = aDepth;
   if (!aBucket.mStarted) {
     aBucket.mStarted = true;
     aBucket.mTokens = aDepth;
--- a/src/libs/admission/tokenbucket.h
+++ b/src/libs/admission/tokenbucket.h
@@ -10,6 +10,8 @@
 struct TokenBucket
 {
   double mTokens = 0;
+  /// Most tokens that the bucket held room for at the last refill.
+  double mDepth = 0;
   Base::TimePoint mFilledAt;
   bool mStarted = false;
 };
--- a/src/libs/admission/workqueue.h
+++ b/src/libs/admission/workqueue.h
@@ -28,6 +28,8 @@
 {
   std::deque<WorkItem> mItems;
   double mDeficit = 0;
+  /// Slot time that the client may use in this kind ahead of clients that borrow.
+  TokenBucket mGuarantee;
   /// Start of the present wait for a dispatch.
   Base::TimePoint mWaitingSince;
 };
