--- a/src/libs/admission/selection.cpp
+++ b/src/libs/admission/selection.cpp
@@ -114,58 +114,92 @@
   });
 }
 
-// Clients that borrow leave half of the kind's burst, so that a client within its share finds the
-// guarantee of the kind unused.
-bool
-IsWithinGuarantee(const KindQueue& aKind)
+// Order in which kinds are served; lower first.
+enum class Tier
+{
+  /// The kind and one of its clients are within their guarantee.
+  Guaranteed,
+  /// A client is within its guarantee, but bursts of others used up that of the kind.
+  GuaranteedClient,
+  /// Only the kind is within its guarantee. Clients that borrow leave half of its burst to clients
+  /// within theirs.
+  GuaranteedKind,
+  Borrowing
+};
+
+Tier
+TierOf(const KindQueue& aKind)
 {
   const TokenBucket& bucket = aKind.mGuarantee;
-  return bucket.mTokens > 0 && (bucket.mTokens > bucket.mDepth / 2 || HasGuaranteedClient(aKind));
+  if (HasGuaranteedClient(aKind)) {
+    return bucket.mTokens > 0 ? Tier::Guaranteed : Tier::GuaranteedClient;
+  }
+  const bool hasBurst = bucket.mTokens > 0 && bucket.mTokens > bucket.mDepth / 2;
+  return hasBurst ? Tier::GuaranteedKind : Tier::Borrowing;
+}
+
+bool
+IsByUrgency(Tier aTier)
+{
+  return aTier == Tier::Guaranteed || aTier == Tier::GuaranteedKind;
 }
 
 struct KindChoice
 {
   KindQueue* mKind = nullptr;
-  bool mGuaranteed = false;
+  Tier mTier = Tier::Borrowing;
   std::string mName;
 };
 
+std::vector<KindChoice>
+ReadyKinds(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
+{
+  std::vector<KindChoice> ready;
+  for (auto& [name, kind] : aScheduler.mKinds) {
+    if (kind.mQueued > 0 && kind.mRunning < MaxRunning(aScheduler, aPolicy, name, aLimit, aNow)) {
+      ready.push_back({ &kind, TierOf(kind), name });
+    }
+  }
+  return ready;
+}
+
 KindChoice
 SelectKind(Scheduler& aScheduler, const Policy& aPolicy, size_t aLimit, Base::TimePoint aNow)
 {
-  KindChoice starved;
-  KindChoice urgent;
-  std::vector<DeficitEntry> borrowing;
-  for (auto& [name, kind] : aScheduler.mKinds) {
-    if (kind.mQueued == 0 || kind.mRunning >= MaxRunning(aScheduler, aPolicy, name, aLimit, aNow)) {
+  const std::vector<KindChoice> ready = ReadyKinds(aScheduler, aPolicy, aLimit, aNow);
+  if (ready.empty()) {
+    return {};
+  }
+  const KindChoice& longest =
+    *std::min_element(ready.begin(), ready.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mKind->mWaitingSince < aRight.mKind->mWaitingSince;
+    });
+  if (aNow - longest.mKind->mWaitingSince >= kStarvationBound) {
+    return longest;
+  }
+  const Tier tier =
+    std::min_element(ready.begin(), ready.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mTier < aRight.mTier;
+    })->mTier;
+  const KindChoice* urgent = nullptr;
+  std::vector<const KindChoice*> choices;
+  std::vector<DeficitEntry> entries;
+  for (const KindChoice& choice : ready) {
+    if (choice.mTier != tier) {
       continue;
     }
-    const bool guaranteed = IsWithinGuarantee(kind);
-    if (aNow - kind.mWaitingSince >= kStarvationBound &&
-        (starved.mKind == nullptr || kind.mWaitingSince < starved.mKind->mWaitingSince)) {
-      starved = { &kind, guaranteed, name };
-    }
-    if (guaranteed &&
-        (urgent.mKind == nullptr || Urgency(aPolicy, name) > Urgency(aPolicy, urgent.mName))) {
-      urgent = { &kind, true, name };
+    if (urgent == nullptr || Urgency(aPolicy, choice.mName) > Urgency(aPolicy, urgent->mName)) {
+      urgent = &choice;
     }
-    borrowing.push_back({ &name, &kind.mDeficit, std::max(kMinWeight, KindShare(aPolicy, name)) });
-  }
-  if (starved.mKind != nullptr) {
-    return starved;
-  }
-  if (urgent.mKind != nullptr || borrowing.empty()) {
-    return urgent;
+    const double weight = std::max(kMinWeight, KindShare(aPolicy, choice.mName));
+    choices.push_back(&choice);
+    entries.push_back({ &choice.mName, &choice.mKind->mDeficit, weight });
   }
-  const std::string name = *borrowing[PickByDeficit(borrowing, aScheduler.mKindCursor)].mName;
-  return { &aScheduler.mKinds[name], false, name };
+  return IsByUrgency(tier) ? *urgent : *choices[PickByDeficit(entries, aScheduler.mKindCursor)];
 }
 
 void
-SelectClient(Scheduler& aScheduler,
-             const Policy& aPolicy,
-             Base::TimePoint aNow,
-             Selection& aSelection)
+SelectClient(const Policy& aPolicy, Base::TimePoint aNow, Selection& aSelection)
 {
   std::vector<DeficitEntry> guaranteed;
   std::vector<DeficitEntry> all;
@@ -307,9 +341,9 @@
   const KindChoice choice = SelectKind(aScheduler, aPolicy, aLimit, aNow);
   selection.mKind = choice.mKind;
   selection.mKindName = choice.mName;
-  selection.mKindGuaranteed = choice.mGuaranteed;
+  selection.mKindGuaranteed = IsByUrgency(choice.mTier);
   if (selection.mKind != nullptr) {
-    SelectClient(aScheduler, aPolicy, aNow, selection);
+    SelectClient(aPolicy, aNow, selection);
   }
   return selection;
 }
