--- a/src/libs/admission/scheduler.cpp
+++ b/src/libs/admission/scheduler.cpp
@@ -1,5 +1,8 @@
 #include "admission/scheduler.h"
 
+#include "admission/guarantee.h"
+#include "admission/policylookup.h"
+#include "admission/queuelimit.h"
 #include "admission/selection.h"
 
 #include <algorithm>
