--- a/src/libs/admission/upstreamchoice.cpp
+++ b/src/libs/admission/upstreamchoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Admission {
 
@@ -13,6 +14,10 @@
 constexpr Base::Duration kHalfLife = std::chrono::seconds(10);
 constexpr Base::Duration kSlowStart = std::chrono::seconds(10);
 
+// An availability zone sends flows away when it gets this much more than its part of the upstreams.
+// The target for the imbalance of requests, 1.25, needs room for chance besides it.
+constexpr double kSpillTolerance = 1.1;
+
 double
 WarmSlots(const UpstreamCandidate& aCandidate, Base::TimePoint aNow)
 {
@@ -24,6 +29,52 @@
   return std::min(slots, 1 + (slots - 1) * std::max(0.0, part));
 }
 
+// Parts of the reachable availability zones.
+struct ZoneShares
+{
+  /// Part of the new flows that arrive there; the fabric delivers to all instances alike.
+  double mArrivals = 0;
+  double mUpstreams = 0;
+};
+
+std::vector<ZoneShares>
+SharesOf(const std::vector<AvailabilityZoneSummary>& aSummaries)
+{
+  double instances = 0;
+  double upstreams = 0;
+  for (const AvailabilityZoneSummary& summary : aSummaries) {
+    instances += summary.mReachable ? summary.mInstances : 0;
+    upstreams += summary.mReachable ? summary.mUpstreams : 0;
+  }
+  std::vector<ZoneShares> shares(aSummaries.size());
+  for (size_t i = 0; i < aSummaries.size(); ++i) {
+    if (aSummaries[i].mReachable) {
+      shares[i].mArrivals = aSummaries[i].mInstances / std::max(1.0, instances);
+      shares[i].mUpstreams = aSummaries[i].mUpstreams / std::max(1.0, upstreams);
+    }
+  }
+  return shares;
+}
+
+std::optional<size_t>
+Draw(const std::vector<double>& aWeights, Base::RandomSource& aRandom)
+{
+  double drawn = Base::NextUnit(aRandom) * std::accumulate(aWeights.begin(), aWeights.end(), 0.0);
+  std::optional<size_t> last;
+  for (size_t i = 0; i < aWeights.size(); ++i) {
+    if (aWeights[i] <= 0) {
+      continue;
+    }
+    // Rounding may leave a rest after the last weight.
+    last = i;
+    if (drawn < aWeights[i]) {
+      break;
+    }
+    drawn -= aWeights[i];
+  }
+  return last;
+}
+
 std::optional<size_t>
 LeastLoaded(const std::vector<UpstreamCandidate>& aCandidates,
             bool aWithEjected,
@@ -81,25 +132,22 @@
                        size_t aOwn,
                        Base::RandomSource& aRandom)
 {
-  if (aSummaries[aOwn].mUpstreams > 0) {
-    return aOwn;
-  }
-  uint64_t total = 0;
-  for (const AvailabilityZoneSummary& summary : aSummaries) {
-    total += summary.mReachable ? summary.mUpstreams : 0;
-  }
-  if (total == 0) {
-    return std::nullopt;
-  }
-  uint64_t drawn = Base::NextBelow(aRandom, total);
-  for (size_t i = 0; i < aSummaries.size(); ++i) {
-    const uint64_t weight = aSummaries[i].mReachable ? aSummaries[i].mUpstreams : 0;
-    if (drawn < weight) {
-      return i;
+  const std::vector<ZoneShares> shares = SharesOf(aSummaries);
+  const ZoneShares& own = shares[aOwn];
+  if (own.mUpstreams > 0) {
+    if (own.mArrivals <= kSpillTolerance * own.mUpstreams) {
+      return aOwn;
+    }
+    if (Base::NextUnit(aRandom) * own.mArrivals < own.mUpstreams) {
+      return aOwn;
     }
-    drawn -= weight;
   }
-  return std::nullopt;
+  std::vector<double> weights;
+  for (const ZoneShares& zone : shares) {
+    const double room = std::max(0.0, zone.mUpstreams - zone.mArrivals);
+    weights.push_back(own.mUpstreams > 0 ? room : zone.mUpstreams);
+  }
+  return Draw(weights, aRandom);
 }
 
 } // namespace Admission
--- a/src/libs/admission/upstreamchoice.h
+++ b/src/libs/admission/upstreamchoice.h
@@ -57,10 +57,11 @@
   bool mReachable = true;
 };
 
-/// Selects the availability zone of a new flow. It is the own one while that has an upstream for
-/// new work; otherwise one of the reachable others, weighted by their upstreams.
-/// \param aOwn is the index of the own availability zone.
-/// \return index of the selected availability zone, or nothing if none can take the flow.
+/// Selects the availability zone of a new flow. It is the own one while that has upstreams for its
+/// part of the arriving flows. What arrives above that goes to availability zones with room, and
+/// all of it to the reachable others, weighted by their upstreams, when the own one has no upstream
+/// for new work. \param aOwn is the index of the own availability zone. \return index of the
+/// selected availability zone, or nothing if none can take the flow.
 std::optional<size_t>
 ChooseAvailabilityZone(const std::vector<AvailabilityZoneSummary>& aSummaries,
                        size_t aOwn,
--- a/tests/auto/admission/tst_upstreamchoice.cpp
+++ b/tests/auto/admission/tst_upstreamchoice.cpp
@@ -102,3 +102,26 @@
   zones[2].mReachable = false;
   CHECK_FALSE(Admission::ChooseAvailabilityZone(zones, 0, random).has_value());
 }
+
+// Guards against an upstream that gets twice the work of others because it is alone in its
+// availability zone.
+TEST(UpstreamChoice, SpillsOverWhatExceedsTheOwnUpstreams)
+{
+  Base::RandomSource random{ 1 };
+  std::vector<Admission::AvailabilityZoneSummary> zones = ThreeZones();
+  zones[0].mUpstreams = 2;
+  zones[1].mUpstreams = 1;
+  zones[2].mUpstreams = 1;
+  std::vector<int> counts(zones.size());
+  for (size_t own = 0; own < zones.size(); ++own) {
+    for (uint32_t i = 0; i < 1000 * zones[own].mInstances; ++i) {
+      ++counts[*Admission::ChooseAvailabilityZone(zones, own, random)];
+    }
+  }
+  CHECK_TRUE(counts[0] > 9700 && counts[0] < 10300);
+  CHECK_TRUE(counts[1] > 4800 && counts[1] < 5200);
+  zones[0].mReachable = false;
+  for (int i = 0; i < 1000; ++i) {
+    CHECK_TRUE(*Admission::ChooseAvailabilityZone(zones, 1, random) != 0);
+  }
+}
