--- a/src/libs/admission/queuelimit.cpp
+++ b/src/libs/admission/queuelimit.cpp
@@ -3,6 +3,7 @@
 #include "admission/policylookup.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Admission {
 
@@ -43,7 +44,7 @@
     }
   }
   const double own = KindWeight(aPolicy, aName);
-  const double most = MaxRunning(aScheduler, aPolicy, aName, aLimit, aNow);
+  const double most = MaxRunning(aScheduler, aPolicy, aName, aLimit, Claim::Guaranteed, aNow);
   const double share = std::min(most, static_cast<double>(aLimit) * own / active);
   // Without a share the kind is still served once in each kStarvationBound.
   const double mean = SecondsOf(aScheduler.mKinds.at(aName).mServiceTime.mMean);
@@ -70,18 +71,22 @@
            const Policy& aPolicy,
            const std::string& aName,
            size_t aLimit,
+           Claim aClaim,
            Base::TimePoint aNow)
 {
   const auto limit = static_cast<uint32_t>(aLimit);
-  const auto own = aScheduler.mKinds.find(aName);
-  if (limit < 2 || own == aScheduler.mKinds.end()) {
+  const auto entry = aScheduler.mKinds.find(aName);
+  if (limit < 2 || entry == aScheduler.mKinds.end()) {
     return limit;
   }
   for (const auto& [name, kind] : aScheduler.mKinds) {
-    const bool shorter = kind.mServiceTime.mSamples > 0 &&
-                         kLongWorkFactor * kind.mServiceTime.mMean < own->second.mServiceTime.mMean;
+    const bool shorter =
+      kind.mServiceTime.mSamples > 0 &&
+      kLongWorkFactor * kind.mServiceTime.mMean < entry->second.mServiceTime.mMean;
     if (shorter && IsActive(kind, aNow) && KindShare(aPolicy, name) > 0) {
-      return limit - 1;
+      const double guaranteed = std::ceil(KindShare(aPolicy, aName) * limit);
+      const auto own = aClaim == Claim::Guaranteed ? static_cast<uint32_t>(guaranteed) : 0;
+      return std::max(limit - 1, own);
     }
   }
   return limit;
--- a/src/libs/admission/queuelimit.h
+++ b/src/libs/admission/queuelimit.h
@@ -14,13 +14,21 @@
   std::string mClient;
 };
 
+/// On what grounds work takes a slot.
+enum class Claim
+{
+  Guaranteed,
+  Borrowed
+};
+
 /// \return slots that work of a kind may hold. Long work leaves one free while shorter work with
-/// a guarantee is active.
+/// a guarantee is active, unless its own guarantee needs that slot.
 uint32_t
 MaxRunning(const Scheduler& aScheduler,
            const Policy& aPolicy,
            const std::string& aName,
            size_t aLimit,
+           Claim aClaim,
            Base::TimePoint aNow);
 
 /// \return why an item cannot finish before its deadline, or nothing if it can.
--- a/src/libs/admission/selection.cpp
+++ b/src/libs/admission/selection.cpp
@@ -60,8 +60,14 @@
 {
   std::vector<KindChoice> ready;
   for (auto& [name, kind] : aScheduler.mKinds) {
-    if (kind.mQueued > 0 && kind.mRunning < MaxRunning(aScheduler, aPolicy, name, aLimit, aNow)) {
-      ready.push_back({ &kind, TierOf(kind), name });
+    if (kind.mQueued == 0) {
+      continue;
+    }
+    const Tier tier = TierOf(kind);
+    const bool guaranteed = tier == Tier::Guaranteed || tier == Tier::GuaranteedClient;
+    const Claim claim = guaranteed ? Claim::Guaranteed : Claim::Borrowed;
+    if (kind.mRunning < MaxRunning(aScheduler, aPolicy, name, aLimit, claim, aNow)) {
+      ready.push_back({ &kind, tier, name });
     }
   }
   return ready;
