--- a/src/libs/admission/concurrencylimit.cpp
+++ b/src/libs/admission/concurrencylimit.cpp
@@ -15,6 +15,8 @@
 constexpr Base::Duration kDecreaseSpacing = std::chrono::milliseconds(100);
 constexpr double kDecreaseFactor = 0.7;
 constexpr uint32_t kWindowAnswers = 32;
+// Timeouts in one window that count as overload, about 1 in 10.
+constexpr uint32_t kOverloadTimeouts = 3;
 // Above the noise of a mean over one window, below the growth of 4 items on 3 slots.
 constexpr double kGrownRatio = 1.25;
 // Bound of what an upstream without reports can reach.
@@ -57,6 +59,7 @@
     aLimit.mLearned = std::min(std::max(cap, 1.0), aLimit.mLearned + 1);
   }
   aLimit.mWindowAnswers = 0;
+  aLimit.mWindowTimeouts = 0;
   aLimit.mWindowRatioSum = 0;
   aLimit.mWindowLimited = false;
 }
@@ -97,6 +100,16 @@
   }
 }
 
+void
+OnTimeout(ConcurrencyLimit& aLimit, Base::TimePoint aNow)
+{
+  ++aLimit.mWindowTimeouts;
+  if (aLimit.mWindowTimeouts >= kOverloadTimeouts) {
+    aLimit.mWindowTimeouts = 0;
+    OnOverload(aLimit, aNow);
+  }
+}
+
 void
 OnOverload(ConcurrencyLimit& aLimit, Base::TimePoint aNow)
 {
--- a/src/libs/admission/concurrencylimit.h
+++ b/src/libs/admission/concurrencylimit.h
@@ -21,6 +21,7 @@
   bool mRamping = false;
   Base::TimePoint mRampStart;
   uint32_t mWindowAnswers = 0;
+  uint32_t mWindowTimeouts = 0;
   double mWindowRatioSum = 0;
   /// The limit held work back in the present window.
   bool mWindowLimited = false;
@@ -42,7 +43,12 @@
 void
 OnAnswer(ConcurrencyLimit& aLimit, double aLatencyRatio, Base::TimePoint aNow);
 
-/// Counts shed work or a timeout.
+/// Counts work that took much longer than usual until its deadline. Several in a window are a sign
+/// of overload; a single one may be a long item.
+void
+OnTimeout(ConcurrencyLimit& aLimit, Base::TimePoint aNow);
+
+/// Decreases the limit, because the upstream shed work or did not keep up.
 void
 OnOverload(ConcurrencyLimit& aLimit, Base::TimePoint aNow);
 
--- a/src/libs/admission/scheduler.cpp
+++ b/src/libs/admission/scheduler.cpp
@@ -152,7 +152,7 @@
     case WorkOutcome::TimedOut:
       // Work that was dispatched shortly before its deadline tells nothing about the upstream.
       if (aTook > kOverloadFactor * CautiousEstimate(aTime)) {
-        OnOverload(aScheduler.mLimit, aNow);
+        OnTimeout(aScheduler.mLimit, aNow);
       }
       return;
     case WorkOutcome::Canceled:
--- a/tests/auto/admission/tst_concurrencylimit.cpp
+++ b/tests/auto/admission/tst_concurrencylimit.cpp
@@ -63,6 +63,22 @@
   LONGS_EQUAL(1, Admission::EffectiveLimit(limit, kStart + 20s));
 }
 
+// Guards against one long item that costs a slot for seconds, and against timeouts that are
+// ignored.
+TEST(ConcurrencyLimit, DecreasesOnSeveralTimeoutsInAWindow)
+{
+  Admission::ConcurrencyLimit limit = WarmLimit(3);
+  Admission::OnTimeout(limit, kStart + 1s);
+  Admission::OnTimeout(limit, kStart + 1s);
+  LONGS_EQUAL(3, Admission::EffectiveLimit(limit, kStart + 1s));
+  AnswerWindow(limit, 1.0, kStart + 1s);
+  Admission::OnTimeout(limit, kStart + 2s);
+  LONGS_EQUAL(3, Admission::EffectiveLimit(limit, kStart + 2s));
+  Admission::OnTimeout(limit, kStart + 2s);
+  Admission::OnTimeout(limit, kStart + 2s);
+  LONGS_EQUAL(2, Admission::EffectiveLimit(limit, kStart + 2s));
+}
+
 // Guards against a limit that never recovers, or rises above fresh reports.
 TEST(ConcurrencyLimit, RecoversByOneForEachWindowUpToTheReport)
 {
