--- a/src/libs/requests/event.h
+++ b/src/libs/requests/event.h
@@ -30,6 +30,7 @@
   RefuseQueueFull,
   RefuseDeadlineTooShort,
   RefuseDeadlinePassed,
+  RefuseUpstreamHung,
   RefuseUnknownKind,
   RefuseUpstreamGone,
   RefuseShed,
