Add the membership protocol and the upstream registry

Each instance writes one record with the upstreams whose leases it holds; digests carry one beat of two bytes for each member, which vouches for all leases of that member. Not yet tested.

--- /dev/null
+++ b/src/libs/membership/compose.cpp
@@ -0,0 +1,94 @@
+#include "membership/compose.h"
+
+#include "membership/digest.h"
+#include "membership/probing.h"
+#include "membership/records.h"
+
+#include <algorithm>
+
+namespace Membership {
+
+namespace {
+
+using lw::membership::Message;
+
+/// Datagrams that answer one message; more is pulled again later.
+constexpr size_t kMaxAnswers = 4;
+
+} // namespace
+
+void
+AddCommonFields(const State& aState, Base::TimePoint aNow, Message& aMessage)
+{
+  const auto uptime = aNow - aState.mStartedAt;
+  aMessage.set_clock_ms(std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count());
+  aMessage.set_joining(!aState.mReady);
+  if (aMessage.digest().empty()) {
+    AddOwnDigest(aState, aMessage);
+  }
+}
+
+void
+AddHotDeltas(State& aState, const Settings& aSettings, Base::TimePoint aNow, Message& aMessage)
+{
+  size_t bytes = aMessage.ByteSizeLong();
+  for (auto& [id, record] : aState.mRecords) {
+    if (record.mHotSends == 0) {
+      continue;
+    }
+    const size_t left = aSettings.mMaxPayload - std::min(bytes, aSettings.mMaxPayload);
+    const auto delta = MakeDelta(record, record.mHotFrom, aNow, left);
+    const size_t size = delta.ByteSizeLong() + 3;
+    if (bytes + size > aSettings.mMaxPayload) {
+      return;
+    }
+    bytes += size;
+    *aMessage.add_deltas() = delta;
+    --record.mHotSends;
+  }
+}
+
+void
+AddHotRumors(State& aState, const Settings& aSettings, Base::TimePoint aNow, Message& aMessage)
+{
+  size_t bytes = aMessage.ByteSizeLong();
+  for (auto& [id, record] : aState.mRecords) {
+    if (record.mRumorSends == 0 || record.mHealth == Health::Alive) {
+      continue;
+    }
+    const auto rumor = MakeRumor(record, aNow);
+    bytes += rumor.ByteSizeLong() + 2;
+    if (bytes > aSettings.mMaxPayload) {
+      return;
+    }
+    *aMessage.add_rumors() = rumor;
+    --record.mRumorSends;
+  }
+}
+
+Message
+MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow, uint64_t aStart)
+{
+  Message message;
+  AddFullDigest(aState, aStart, aNow, message);
+  AddCommonFields(aState, aNow, message);
+  AddHotRumors(aState, aSettings, aNow, message);
+  AddHotDeltas(aState, aSettings, aNow, message);
+  return message;
+}
+
+void
+ReplyWriter::AddDelta(const Record& aRecord, uint32_t aFrom, Base::TimePoint aNow)
+{
+  const auto delta = MakeDelta(aRecord, aFrom, aNow, mSettings.mMaxPayload / 2);
+  const size_t bytes = mMessages.back().ByteSizeLong() + delta.ByteSizeLong() + 3;
+  if (bytes > mSettings.mMaxPayload) {
+    if (mMessages.size() >= kMaxAnswers) {
+      return;
+    }
+    mMessages.emplace_back();
+  }
+  *mMessages.back().add_deltas() = delta;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/digest.cpp
@@ -0,0 +1,263 @@
+#include "membership/digest.h"
+
+#include "membership/records.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace Membership {
+
+namespace {
+
+constexpr Base::Duration kAgeUnit = std::chrono::milliseconds(25);
+/// Older beats are left out; they extend no lease.
+constexpr int64_t kMaxAge = 255;
+constexpr uint32_t kVarintBits = 7;
+constexpr uint8_t kVarintMore = 0x80;
+
+struct Entry
+{
+  Base::InstanceId mId;
+  uint8_t mAge = 0;
+  uint8_t mTag = 0;
+  uint64_t mVersion = 0;
+};
+
+void
+AppendVarint(uint64_t aValue, std::string& aOutput)
+{
+  while (aValue >= kVarintMore) {
+    aOutput.push_back(static_cast<char>((aValue & (kVarintMore - 1U)) | kVarintMore));
+    aValue >>= kVarintBits;
+  }
+  aOutput.push_back(static_cast<char>(aValue));
+}
+
+/// Reads the packed fields of a digest; mFailed is set once the bytes end too early.
+struct ByteReader
+{
+  const std::string& mBytes;
+  size_t mOffset = 0;
+  bool mFailed = false;
+
+  bool AtEnd() const { return mFailed || mOffset >= mBytes.size(); }
+
+  uint8_t Byte()
+  {
+    mFailed = mFailed || mOffset >= mBytes.size();
+    return mFailed ? 0 : static_cast<uint8_t>(mBytes[mOffset++]);
+  }
+
+  uint64_t Varint()
+  {
+    uint64_t value = 0;
+    for (uint32_t shift = 0; shift < 64; shift += kVarintBits) {
+      const uint8_t byte = Byte();
+      value |= static_cast<uint64_t>(byte & (kVarintMore - 1U)) << shift;
+      if (byte < kVarintMore) {
+        return value;
+      }
+    }
+    mFailed = true;
+    return 0;
+  }
+};
+
+Entry
+MakeEntry(const Record& aRecord, int64_t aAge)
+{
+  return {
+    aRecord.mId, static_cast<uint8_t>(aAge), VersionTag(aRecord), aRecord.mVersionInForce.mValue
+  };
+}
+
+/// \return entries by id; the own one has age 0.
+std::vector<Entry>
+CollectEntries(const State& aState, Base::TimePoint aNow)
+{
+  std::vector<Entry> entries;
+  for (const auto& [id, record] : aState.mRecords) {
+    if (id == aState.mSelf) {
+      entries.push_back(MakeEntry(record, 0));
+      continue;
+    }
+    // Rounding up shortens leases and is therefore safe.
+    const int64_t age = (aNow - record.mBeat + kAgeUnit - Base::Duration(1)) / kAgeUnit;
+    if (IsInRing(record) && record.mCopied > 0 && age < kMaxAge) {
+      entries.push_back(MakeEntry(record, std::max<int64_t>(age, 0)));
+    }
+  }
+  return entries;
+}
+
+void
+KeepPart(const State& aState, uint64_t aStart, std::vector<Entry>& aEntries)
+{
+  std::rotate(aEntries.begin(), aEntries.begin() + (aStart % aEntries.size()), aEntries.end());
+  const auto own = std::find_if(aEntries.begin(), aEntries.end(), [&](const Entry& aEntry) {
+    return aEntry.mId == aState.mSelf;
+  });
+  std::iter_swap(aEntries.begin(), own);
+  aEntries.resize(kMaxDigestEntries);
+  std::sort(aEntries.begin(), aEntries.end(), [](const Entry& aLeft, const Entry& aRight) {
+    return aLeft.mId < aRight.mId;
+  });
+}
+
+void
+Encode(const std::vector<Entry>& aEntries, lw::membership::Message& aMessage)
+{
+  uint64_t newest = 0;
+  for (const Entry& entry : aEntries) {
+    newest = std::max(newest, entry.mVersion);
+  }
+  std::string digest;
+  std::string lags;
+  uint64_t next = 0;
+  for (size_t first = 0; first < aEntries.size();) {
+    size_t end = first + 1;
+    while (end < aEntries.size() && aEntries[end].mId.mValue == aEntries[end - 1].mId.mValue + 1) {
+      ++end;
+    }
+    AppendVarint(aEntries[first].mId.mValue - next, digest);
+    AppendVarint(end - first, digest);
+    next = aEntries[end - 1].mId.mValue + 1ULL;
+    for (; first < end; ++first) {
+      digest.push_back(static_cast<char>(aEntries[first].mAge));
+      digest.push_back(static_cast<char>(aEntries[first].mTag));
+      if (aEntries[first].mVersion < newest) {
+        AppendVarint(first, lags);
+        AppendVarint(newest - aEntries[first].mVersion, lags);
+      }
+    }
+  }
+  aMessage.set_digest(std::move(digest));
+  aMessage.set_newest_version(newest);
+  aMessage.set_version_lags(std::move(lags));
+}
+
+std::optional<std::vector<Entry>>
+Decode(const lw::membership::Message& aMessage)
+{
+  std::vector<Entry> entries;
+  ByteReader reader{ aMessage.digest() };
+  uint64_t next = 0;
+  while (!reader.AtEnd()) {
+    next += reader.Varint();
+    const uint64_t count = reader.Varint();
+    if (entries.size() + count > kMaxDigestEntries || next + count > UINT32_MAX) {
+      return std::nullopt;
+    }
+    for (uint64_t i = 0; i < count; ++i) {
+      const uint8_t age = reader.Byte();
+      const uint8_t tag = reader.Byte();
+      const Base::InstanceId id(static_cast<uint32_t>(next++));
+      entries.push_back({ id, age, tag, aMessage.newest_version() });
+    }
+  }
+  ByteReader lags{ aMessage.version_lags() };
+  while (!lags.AtEnd()) {
+    const uint64_t position = lags.Varint();
+    const uint64_t lag = lags.Varint();
+    if (position >= entries.size() || lag > entries[position].mVersion) {
+      return std::nullopt;
+    }
+    entries[position].mVersion -= lag;
+  }
+  if (reader.mFailed || lags.mFailed) {
+    return std::nullopt;
+  }
+  return entries;
+}
+
+void
+ExtendLeases(Record& aRecord, const Settings& aSettings)
+{
+  const Base::TimePoint end = aRecord.mLeaseBeat + aSettings.mLease - aSettings.mCoverage;
+  for (Claim& claim : aRecord.mClaims) {
+    const bool held = claim.mState == ClaimState::Active || claim.mState == ClaimState::Draining;
+    if (held && !claim.mOverdue) {
+      claim.mLeaseEnd = std::max(claim.mLeaseEnd, end);
+    }
+  }
+}
+
+void
+ApplyEntry(State& aState,
+           const Settings& aSettings,
+           const Entry& aEntry,
+           Base::TimePoint aArrival,
+           DigestResult& aResult)
+{
+  if (aEntry.mId == aState.mSelf) {
+    return;
+  }
+  Record* record = FindRecord(aState, aEntry.mId);
+  const bool matches = record != nullptr && VersionTag(*record) == aEntry.mTag;
+  const bool copied =
+    record != nullptr && record->mCopied > 0 && record->mCopied >= record->mNewest;
+  aResult.mAllCopied = aResult.mAllCopied && copied;
+  if (!matches) {
+    aResult.mDiffering.push_back(aEntry.mId);
+  }
+  if (record == nullptr) {
+    return;
+  }
+  if (!IsInRing(*record)) {
+    aResult.mDeadHere.push_back(aEntry.mId);
+    return;
+  }
+  const Base::TimePoint beat = aArrival - kAgeUnit * aEntry.mAge;
+  record->mBeat = std::max(record->mBeat, beat);
+  if (!matches) {
+    return;
+  }
+  record->mVersionInForce = std::max(record->mVersionInForce, Base::ConfigVersion(aEntry.mVersion));
+  if (beat > record->mLeaseBeat) {
+    record->mLeaseBeat = beat;
+    ExtendLeases(*record, aSettings);
+  }
+}
+
+} // namespace
+
+void
+AddFullDigest(const State& aState,
+              uint64_t aStart,
+              Base::TimePoint aNow,
+              lw::membership::Message& aMessage)
+{
+  std::vector<Entry> entries = CollectEntries(aState, aNow);
+  const bool complete = entries.size() <= kMaxDigestEntries;
+  if (!complete) {
+    KeepPart(aState, aStart, entries);
+  }
+  Encode(entries, aMessage);
+  aMessage.set_digest_complete(complete);
+}
+
+void
+AddOwnDigest(const State& aState, lw::membership::Message& aMessage)
+{
+  Encode({ MakeEntry(*FindRecord(aState, aState.mSelf), 0) }, aMessage);
+}
+
+DigestResult
+ApplyDigest(State& aState,
+            const Settings& aSettings,
+            const lw::membership::Message& aMessage,
+            Base::TimePoint aArrival)
+{
+  DigestResult result;
+  const std::optional<std::vector<Entry>> entries = Decode(aMessage);
+  if (!entries) {
+    result.mValid = false;
+    return result;
+  }
+  for (const Entry& entry : *entries) {
+    ApplyEntry(aState, aSettings, entry, aArrival, result);
+  }
+  return result;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/leases.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "membership/state.h"
+
+#include <set>
+
+namespace Membership {
+
+/// A call of an upstream, already checked against the configuration in force.
+struct Announcement
+{
+  Base::Endpoint mEndpoint;
+  std::string mService;
+  Base::ServiceGeneration mGeneration;
+  uint64_t mStartId = 0;
+  uint64_t mSequence = 0;
+  /// Active, Draining or Left.
+  ClaimState mState = ClaimState::Active;
+  uint32_t mSlots = 1;
+  uint32_t mLoad = 0;
+};
+
+enum class AnnounceOutcome
+{
+  Accepted,
+  /// The instance joins or leaves; the upstream must try another one.
+  Unavailable,
+  /// A newer announcement of the address is known.
+  Stale,
+  /// The address has a live lease in another service.
+  AddressInUse
+};
+
+struct AnnounceResult
+{
+  AnnounceOutcome mOutcome = AnnounceOutcome::Accepted;
+  /// Time until the lease ends unless renewed.
+  Base::Duration mLease = Base::Duration::zero();
+  Outbox mOutbox;
+};
+
+/// Takes in an announcement, renewal, drain or leave. A change makes this instance the lease
+/// holder; a plain renewal goes to the present holder.
+AnnounceResult
+Announce(State& aState,
+         const Settings& aSettings,
+         const Announcement& aAnnouncement,
+         Base::TimePoint aNow);
+
+/// Takes in a renewal that another instance passed on.
+/// \param aArrival is when it arrived, or earlier by the time that the datagram was queued.
+void
+ApplyRenewal(State& aState,
+             const Settings& aSettings,
+             const lw::membership::Renewal& aRenewal,
+             Base::TimePoint aArrival);
+
+/// Marks own claims whose renewals are overdue and releases expired ones. Must run before each
+/// message with a digest, because a digest vouches for the claims that are not overdue.
+void
+UpdateOwnClaims(State& aState, const Settings& aSettings, Base::TimePoint aNow);
+
+/// Releases own claims that lose against a claim in another member's record.
+void
+ResolveConflicts(State& aState, Base::InstanceId aOther, Base::TimePoint aNow);
+
+/// Releases own claims of services that the configuration no longer has.
+void
+KeepServices(State& aState,
+             const std::set<Base::ServiceGeneration>& aGenerations,
+             Base::TimePoint aNow);
+
+/// \return the member that receives the load reports of an upstream: its dispatcher.
+Base::InstanceId
+DispatcherOf(const State& aState, const Base::Endpoint& aUpstream);
+
+} // namespace Membership
--- a/src/libs/membership/view.h
+++ b/src/libs/membership/view.h
@@ -26,6 +26,8 @@
   Base::Endpoint mPeerEndpoint;
   MemberState mState = MemberState::Alive;
   Base::ConfigVersion mVersionInForce;
+  /// Set while the member leaves.
+  Base::InstanceId mSuccessor;
 };
 
 enum class UpstreamState
@@ -49,6 +51,18 @@
   /// It gets no packet before this time, see the address reuse rule in docs/design.md.
   Base::TimePoint mUsableFrom;
   Base::TimePoint mLeaseEnd;
+  /// First announcement of this start. A recent one means a cold upstream, for the slow start.
+  Base::TimePoint mStartedAt;
+  /// When mLoad was reported. Current at the upstream's dispatcher and its lease holder only.
+  Base::TimePoint mLoadAt;
+};
+
+/// An instance that left gracefully. Only its successor accepts its tickets.
+struct Departed
+{
+  Base::InstanceId mId;
+  Base::Incarnation mIncarnation;
+  Base::InstanceId mSuccessor;
 };
 
 /// What an instance knows of its availability zone. Immutable once published.
@@ -60,6 +74,8 @@
   std::vector<Member> mMembers;
   /// Upstreams by endpoint.
   std::vector<Upstream> mUpstreams;
+  /// Instances that left, oldest first; bounded.
+  std::vector<Departed> mDeparted;
 };
 
 /// \return the member with this id, or nullptr.
