--- a/src/libs/membership/compose.cpp
+++ b/src/libs/membership/compose.cpp
@@ -33,6 +33,9 @@
 {
   size_t bytes = aMessage.ByteSizeLong();
   for (auto& [id, record] : aState.mRecords) {
+    if (aNow > record.mHotUntil) {
+      record.mHotSends = 0;
+    }
     if (record.mHotSends == 0) {
       continue;
     }
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -187,8 +187,7 @@
   own.mIncarnation = aIdentity.mIncarnation;
   own.mEndpoint = aIdentity.mPeerEndpoint;
   own.mEpoch = 1;
-  own.mNewest = own.mCopied = 1;
-  own.mHotSends = SpreadSends(state);
+  AdvanceOwnCounter(state);
   return state;
 }
 
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -13,6 +13,10 @@
 
 /// Claims of a dead holder are dropped after this time; their leases have long ended.
 constexpr Base::Duration kDeadClaimTime = std::chrono::seconds(30);
+/// Changes are passed on unasked for this time. Most members know them by then, and digests show
+/// the others what they miss. Without the limit the copies of a mass join filled the datagrams of
+/// 80 instances for more than 20 s.
+constexpr Base::Duration kHotTime = std::chrono::seconds(2);
 
 bool
 IsNewerRun(const RecordDelta& aDelta, const Record& aRecord)
@@ -34,6 +38,7 @@
     aRecord.mHotFrom = aFrom;
   }
   aRecord.mHotSends = SpreadSends(aState);
+  aRecord.mHotUntil = aState.mLastTick + kHotTime;
 }
 
 void
--- a/src/libs/membership/state.h
+++ b/src/libs/membership/state.h
@@ -115,8 +115,10 @@
   std::optional<Base::Duration> mClockOffset;
   Base::TimePoint mClockOffsetAt;
 
+  /// The change after mHotFrom is passed on mHotSends more times, until mHotUntil at the latest.
   uint32_t mHotFrom = 0;
   uint32_t mHotSends = 0;
+  Base::TimePoint mHotUntil;
   Base::TimePoint mPulledAt;
   Base::TimePoint mProbedAt;
 };
--- a/src/tools/measure/membershipnetwork.cpp
+++ b/src/tools/measure/membershipnetwork.cpp
@@ -170,6 +170,7 @@
     datagram.mBytes = Serialize(node, outgoing.mMessage);
     node.mTraffic.mSentBytes += datagram.mBytes.size() + kIpUdpHeader;
     ++node.mTraffic.mSentMessages;
+    aNetwork.mLargestDatagram = std::max(aNetwork.mLargestDatagram, datagram.mBytes.size());
     const auto receiver = aNetwork.mNodes.find(datagram.mTo);
     const bool reachable =
       receiver != aNetwork.mNodes.end() && receiver->second.mSide == node.mSide;
--- a/src/tools/measure/membershipnetwork.h
+++ b/src/tools/measure/membershipnetwork.h
@@ -60,6 +60,8 @@
   Base::RandomSource mRandom;
   /// Part of the datagrams that are lost, 0 to 1.
   double mLoss = 0;
+  /// Bytes of the largest datagram so far, with the envelope.
+  size_t mLargestDatagram = 0;
   std::map<uint32_t, Node> mNodes;
   std::vector<FakeUpstream> mUpstreams;
 
