Fix lease extension by relayed beats, holds after a crash, and suspicion under loss

Causes, each found by a test: - a relay passed on a liveness beat with the tag of its older copy, which extended a silent upstream's lease by up to 320 ms; now only beats of the relayed version are passed on; - the hold of a claim by a restarted holder replaced the finished hold when the orphaned lease ended; the finished hold is now kept; - a renewal passed on to a crashed holder was lost; the passing instance now takes over; - suspects learn of the suspicion with each message and a lost probe is repeated.

--- a/src/libs/membership/digest.cpp
+++ b/src/libs/membership/digest.cpp
@@ -81,8 +81,9 @@
       entries.push_back(MakeEntry(record, 0));
       continue;
     }
-    // Rounding up shortens leases and is therefore safe.
-    const int64_t age = (aNow - record.mBeat + kAgeUnit - Base::Duration(1)) / kAgeUnit;
+    // Only a beat that belonged to this version may be passed on with its tag; another one would
+    // vouch for claims that are overdue by now. Rounding up shortens leases and is therefore safe.
+    const int64_t age = (aNow - record.mLeaseBeat + kAgeUnit - Base::Duration(1)) / kAgeUnit;
     if (IsInRing(record) && record.mCopied > 0 && age < kMaxAge) {
       entries.push_back(MakeEntry(record, std::max<int64_t>(age, 0)));
     }
--- a/src/libs/membership/leases.cpp
+++ b/src/libs/membership/leases.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 /// A renewal makes this instance the holder when less is left of the lease that it knows: the
-/// holder's beats come too late. The value leaves one more renewal before the lease ends.
-constexpr Base::Duration kTakeoverMargin = std::chrono::milliseconds(1500);
+/// holder's beats come too late. The value leaves time for the change to reach all instances.
+constexpr Base::Duration kTakeoverMargin = std::chrono::milliseconds(2000);
 /// A claim without any beat of its holder counts as new for this time.
 constexpr Base::Duration kNewClaimTime = std::chrono::seconds(2);
 
@@ -136,11 +136,13 @@
 }
 
 /// Makes this instance the holder of the upstream's lease.
+/// \param aHeardAt is the time of the call.
 void
 Hold(State& aState,
      const Settings& aSettings,
      const Announcement& aAnnouncement,
      const Verdict& aKnown,
+     Base::TimePoint aHeardAt,
      Base::TimePoint aNow)
 {
   const bool continues =
@@ -155,11 +157,11 @@
   claim.mState = aAnnouncement.mState;
   claim.mSlots = aAnnouncement.mSlots;
   claim.mLoad = aAnnouncement.mLoad;
-  claim.mLoadAt = aNow;
+  claim.mLoadAt = aHeardAt;
   claim.mUsableFrom = continues ? aKnown.mUsableFrom : aNow + aSettings.mHold;
   claim.mStartedAt = sameStart ? aKnown.mBest.mClaim->mStartedAt : aNow;
-  claim.mRenewedAt = aNow;
-  claim.mLeaseEnd = claim.mState == ClaimState::Left ? aNow : aNow + aSettings.mLease;
+  claim.mRenewedAt = aHeardAt;
+  claim.mLeaseEnd = claim.mState == ClaimState::Left ? aNow : aHeardAt + aSettings.mLease;
   if (aKnown.mBest.mHolder != nullptr && aKnown.mBest.mHolder->mId != aState.mSelf) {
     ++aState.mCounts.mTakeovers;
   }
@@ -169,6 +171,7 @@
   }
   *own = std::move(claim);
   Publish(aState, *own);
+  aState.mPassedRenewals.erase(aAnnouncement.mEndpoint);
 }
 
 /// \return the lease that the caller is told of.
@@ -216,20 +219,19 @@
   const Base::InstanceId dispatcher = DispatcherOf(aState, aAnnouncement.mEndpoint);
   const bool plain =
     known.mBlocking && best->mState != ClaimState::Released && !IsChange(aAnnouncement, *best);
-  if (!plain) {
-    Hold(aState, aSettings, aAnnouncement, known, aNow);
-  } else if (known.mBest.mHolder == &OwnRecord(aState)) {
+  if (plain && known.mBest.mHolder == &OwnRecord(aState)) {
     Claim& own = *FindOwnClaim(aState, aAnnouncement.mEndpoint);
     own.mSequence = aAnnouncement.mSequence;
     Renew(aState, aSettings, own, aNow);
-  } else if (!IsHolderFit(known, aNow)) {
-    Hold(aState, aSettings, aAnnouncement, known, aNow);
-  } else {
+  } else if (plain && IsHolderFit(known, aNow)) {
     ++aState.mCounts.mForwardedRenewals;
+    aState.mPassedRenewals[aAnnouncement.mEndpoint] = { aAnnouncement, aNow };
     PassOn(aState, known.mBest.mHolder->mId, aAnnouncement, aNow, result);
     if (known.mBest.mHolder->mId == dispatcher) {
       return result;
     }
+  } else {
+    Hold(aState, aSettings, aAnnouncement, known, aNow, aNow);
   }
   ReportLoad(aState, aAnnouncement, aNow);
   PassOn(aState, dispatcher, aAnnouncement, aNow, result);
@@ -281,6 +283,35 @@
   }
 }
 
+void
+TakeOverSilentLeases(State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  if (OwnRecord(aState).mState != lw::membership::ALIVE) {
+    aState.mPassedRenewals.clear();
+    return;
+  }
+  std::vector<PassedRenewal> due;
+  for (auto passed = aState.mPassedRenewals.begin(); passed != aState.mPassedRenewals.end();) {
+    const PassedRenewal& renewal = passed->second;
+    const std::vector<ClaimRef> claims = ClaimsOf(aState, passed->first);
+    const Verdict known = Decide(claims.data(), claims.data() + claims.size(), aNow);
+    const Claim* best = known.mBest.mClaim;
+    const bool over = aNow - renewal.mAt > aSettings.mCoverage || !known.mBlocking ||
+                      best->mGeneration != renewal.mAnnouncement.mGeneration ||
+                      IsStale(aState, renewal.mAnnouncement, known) ||
+                      IsChange(renewal.mAnnouncement, *best);
+    if (!over && !IsHolderFit(known, aNow)) {
+      due.push_back(renewal);
+    }
+    passed = over ? aState.mPassedRenewals.erase(passed) : std::next(passed);
+  }
+  for (const PassedRenewal& renewal : due) {
+    const std::vector<ClaimRef> claims = ClaimsOf(aState, renewal.mAnnouncement.mEndpoint);
+    const Verdict known = Decide(claims.data(), claims.data() + claims.size(), aNow);
+    Hold(aState, aSettings, renewal.mAnnouncement, known, renewal.mAt, aNow);
+  }
+}
+
 void
 ResolveConflicts(State& aState, Base::InstanceId aOther, Base::TimePoint aNow)
 {
--- a/src/libs/membership/leases.h
+++ b/src/libs/membership/leases.h
@@ -6,20 +6,6 @@
 
 namespace Membership {
 
-/// A call of an upstream, already checked against the configuration in force.
-struct Announcement
-{
-  Base::Endpoint mEndpoint;
-  std::string mService;
-  Base::ServiceGeneration mGeneration;
-  uint64_t mStartId = 0;
-  uint64_t mSequence = 0;
-  /// Active, Draining or Left.
-  ClaimState mState = ClaimState::Active;
-  uint32_t mSlots = 1;
-  uint32_t mLoad = 0;
-};
-
 enum class AnnounceOutcome
 {
   Accepted,
@@ -60,6 +46,11 @@
 void
 UpdateOwnClaims(State& aState, const Settings& aSettings, Base::TimePoint aNow);
 
+/// Takes over the leases of upstreams that renew through this instance while their holder is
+/// silent, without waiting for the next call.
+void
+TakeOverSilentLeases(State& aState, const Settings& aSettings, Base::TimePoint aNow);
+
 /// Releases own claims that lose against a claim in another member's record.
 void
 ResolveConflicts(State& aState, Base::InstanceId aOther, Base::TimePoint aNow);
--- a/src/libs/membership/probing.cpp
+++ b/src/libs/membership/probing.cpp
@@ -134,11 +134,14 @@
   }
 }
 
+/// Asks two peers to probe, and probes once more itself in case a single datagram was lost.
 void
 SendIndirectProbes(State& aState, Probe& aProbe, Base::RandomSource& aRandom, Outbox& aOutbox)
 {
   aProbe.mIndirect = true;
   ++aState.mCounts.mIndirectProbes;
+  aOutbox.push_back(To(*FindRecord(aState, aProbe.mTarget)));
+  aOutbox.back().mMessage.set_ping(aProbe.mSequence);
   std::vector<Base::InstanceId> peers = OtherMembers(aState, aProbe.mTarget);
   Shuffle(peers, aRandom);
   peers.resize(std::min(peers.size(), kIndirectPeers));
@@ -180,8 +183,12 @@
 EndSuspicions(State& aState, const Settings& aSettings, Base::TimePoint aNow)
 {
   for (auto& [id, record] : aState.mRecords) {
+    // A suspect whose beats still arrive gets twice the time to refute. If it only sends and does
+    // not receive, it is dead after that.
+    const bool fresh = aNow - record.mBeat < aSettings.mStaleBeat;
+    const Base::Duration limit = fresh ? 2 * aSettings.mSuspicion : aSettings.mSuspicion;
     if (record.mHealth == Health::Suspect && record.mState != lw::membership::LEFT &&
-        aNow - record.mHealthSince >= aSettings.mSuspicion) {
+        aNow - record.mHealthSince >= limit) {
       DeclareDead(aState, record, record.mHealthCounter, aNow);
     }
   }
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -149,6 +149,18 @@
          aMessage.rumors_size() > 0 || !aMessage.digest().empty();
 }
 
+/// Every message to a suspect says so, so that it can refute in time although messages are lost.
+void
+TellSuspects(const State& aState, Base::TimePoint aNow, Outbox& aOutbox)
+{
+  for (Outgoing& outgoing : aOutbox) {
+    const Record* record = FindRecord(aState, outgoing.mTo);
+    if (record != nullptr && record->mHealth == Health::Suspect) {
+      *outgoing.mMessage.add_rumors() = MakeRumor(*record, aNow);
+    }
+  }
+}
+
 /// A sender that this instance knows as another run, as dead or as suspect must be told, because it
 /// has to refute it.
 void
@@ -205,6 +217,7 @@
     aState.mReady = true;
   }
   UpdateOwnClaims(aState, aSettings, aNow);
+  TakeOverSilentLeases(aState, aSettings, aNow);
   PurgeRecords(aState, aNow);
   Outbox outbox = TickProbes(aState, aSettings, aNow, aRandom);
   for (Outgoing& outgoing : outbox) {
@@ -212,6 +225,7 @@
     AddHotRumors(aState, aSettings, aNow, outgoing.mMessage);
   }
   SendGossip(aState, aSettings, aNow, aRandom, outbox);
+  TellSuspects(aState, aNow, outbox);
   SendContacts(aState, aSettings, aNow, aRandom, outbox);
   return outbox;
 }
@@ -284,7 +298,8 @@
   Outbox outbox;
   std::vector<Base::InstanceId> ring = Ring(aState);
   // More copies than for other changes, because the leaving instance cannot answer pulls later.
-  for (size_t i = 0; i < 2 * SpreadSends(aState) && !ring.empty(); ++i) {
+  const size_t copies = 2UL * SpreadSends(aState);
+  for (size_t i = 0; i < copies && !ring.empty(); ++i) {
     const size_t chosen = Base::NextBelow(aRandom, ring.size());
     const Record& peer = *FindRecord(aState, ring[chosen]);
     Message message;
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "membership/claimcodec.h"
+#include "membership/claimorder.h"
 
 #include <algorithm>
 
@@ -134,6 +135,23 @@
   return record;
 }
 
+/// A holder without memory starts a hold for an upstream that others use already. The address has
+/// been in the service all the time, so an instance that knows its lease goes on.
+void
+ContinueHolds(State& aState, Record& aRecord, Base::TimePoint aNow)
+{
+  for (Claim& claim : aRecord.mClaims) {
+    if (claim.mUsableFrom <= aNow) {
+      continue;
+    }
+    for (const ClaimRef& known : ClaimsOf(aState, claim.mEndpoint)) {
+      if (known.mClaim->mGeneration == claim.mGeneration && known.mClaim->mLeaseEnd > aNow) {
+        claim.mUsableFrom = std::min(claim.mUsableFrom, known.mClaim->mUsableFrom);
+      }
+    }
+  }
+}
+
 bool
 ApplyClaims(State& aState, Record& aRecord, const RecordDelta& aDelta, Base::TimePoint aNow)
 {
@@ -151,6 +169,7 @@
   for (Claim& claim : claims) {
     MergeClaim(aRecord.mClaims, std::move(claim));
   }
+  ContinueHolds(aState, aRecord, aNow);
   return true;
 }
 
--- a/src/libs/membership/state.h
+++ b/src/libs/membership/state.h
@@ -151,6 +151,28 @@
   Base::TimePoint mAt;
 };
 
+/// A call of an upstream, already checked against the configuration in force.
+struct Announcement
+{
+  Base::Endpoint mEndpoint;
+  std::string mService;
+  Base::ServiceGeneration mGeneration;
+  uint64_t mStartId = 0;
+  uint64_t mSequence = 0;
+  /// Active, Draining or Left.
+  ClaimState mState = ClaimState::Active;
+  uint32_t mSlots = 1;
+  uint32_t mLoad = 0;
+};
+
+/// A renewal that this instance passed on to the lease holder. Kept for mCoverage, at most one for
+/// each upstream, so that this instance can take the lease over if the holder falls silent.
+struct PassedRenewal
+{
+  Announcement mAnnouncement;
+  Base::TimePoint mAt;
+};
+
 /// Counted events, for the program's counters and the tests.
 struct Counts
 {
@@ -184,6 +206,7 @@
   /// Claims whose holder died, left or restarted; they end with their leases unless taken over.
   std::vector<Claim> mOrphans;
   std::map<Base::Endpoint, RetiredAddress> mRetired;
+  std::map<Base::Endpoint, PassedRenewal> mPassedRenewals;
   std::vector<Departed> mDeparted;
   std::vector<Probe> mProbes;
   std::vector<RelayedProbe> mRelays;
