--- a/src/libs/membership/compose.h
+++ b/src/libs/membership/compose.h
@@ -27,11 +27,13 @@
 lw::membership::Message
 MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow, uint64_t aStart);
 
-/// Collects an answer and begins another datagram when one is full.
+/// Collects an answer. The first datagram gets what is bounded by count; records go into others,
+/// and another one is begun when one is full.
 struct ReplyWriter
 {
+  const State& mState;
   const Settings& mSettings;
-  std::vector<lw::membership::Message> mMessages{ 1 };
+  std::vector<lw::membership::Message> mMessages{ 2 };
 
   lw::membership::Message& First() { return mMessages.front(); }
 
--- a/src/libs/membership/digest.cpp
+++ b/src/libs/membership/digest.cpp
@@ -3,6 +3,7 @@
 #include "membership/records.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 
 namespace Membership {
@@ -105,15 +106,64 @@
   });
 }
 
-void
-Encode(const std::vector<Entry>& aEntries, lw::membership::Message& aMessage)
+/// During a change some instances have the new version and some the old one; naming the fewer keeps
+/// the digest within a datagram.
+uint64_t
+MostCommonVersion(const std::vector<Entry>& aEntries)
 {
-  uint64_t newest = 0;
+  std::map<uint64_t, size_t> counts;
   for (const Entry& entry : aEntries) {
-    newest = std::max(newest, entry.mVersion);
+    ++counts[entry.mVersion];
+  }
+  return std::max_element(
+           counts.begin(),
+           counts.end(),
+           [](const auto& aLeft, const auto& aRight) { return aLeft.second < aRight.second; })
+    ->first;
+}
+
+void
+EncodeVersions(const std::vector<Entry>& aEntries, lw::membership::Message& aMessage)
+{
+  const uint64_t base = MostCommonVersion(aEntries);
+  std::string differences;
+  size_t last = 0;
+  for (size_t position = 0; position < aEntries.size(); ++position) {
+    const auto difference = static_cast<int64_t>(aEntries[position].mVersion - base);
+    if (difference != 0) {
+      AppendVarint(position - last, differences);
+      AppendVarint((static_cast<uint64_t>(difference) << 1U) ^
+                     static_cast<uint64_t>(difference >> 63U),
+                   differences);
+      last = position;
+    }
   }
+  aMessage.set_base_version(base);
+  aMessage.set_version_differences(std::move(differences));
+}
+
+/// \return false if the bytes are malformed.
+bool
+DecodeVersions(const lw::membership::Message& aMessage, std::vector<Entry>& aEntries)
+{
+  ByteReader reader{ aMessage.version_differences() };
+  uint64_t position = 0;
+  while (!reader.AtEnd()) {
+    position += reader.Varint();
+    const uint64_t zigzag = reader.Varint();
+    const uint64_t difference = (zigzag >> 1U) ^ (~(zigzag & 1U) + 1U);
+    if (position >= aEntries.size()) {
+      return false;
+    }
+    aEntries[position].mVersion = aMessage.base_version() + difference;
+  }
+  return !reader.mFailed;
+}
+
+void
+Encode(const std::vector<Entry>& aEntries, lw::membership::Message& aMessage)
+{
   std::string digest;
-  std::string lags;
   uint64_t next = 0;
   for (size_t first = 0; first < aEntries.size();) {
     size_t end = first + 1;
@@ -126,15 +176,10 @@
     for (; first < end; ++first) {
       digest.push_back(static_cast<char>(aEntries[first].mAge));
       digest.push_back(static_cast<char>(aEntries[first].mTag));
-      if (aEntries[first].mVersion < newest) {
-        AppendVarint(first, lags);
-        AppendVarint(newest - aEntries[first].mVersion, lags);
-      }
     }
   }
   aMessage.set_digest(std::move(digest));
-  aMessage.set_newest_version(newest);
-  aMessage.set_version_lags(std::move(lags));
+  EncodeVersions(aEntries, aMessage);
 }
 
 std::optional<std::vector<Entry>>
@@ -153,19 +198,10 @@
       const uint8_t age = reader.Byte();
       const uint8_t tag = reader.Byte();
       const Base::InstanceId id(static_cast<uint32_t>(next++));
-      entries.push_back({ id, age, tag, aMessage.newest_version() });
-    }
-  }
-  ByteReader lags{ aMessage.version_lags() };
-  while (!lags.AtEnd()) {
-    const uint64_t position = lags.Varint();
-    const uint64_t lag = lags.Varint();
-    if (position >= entries.size() || lag > entries[position].mVersion) {
-      return std::nullopt;
+      entries.push_back({ id, age, tag, aMessage.base_version() });
     }
-    entries[position].mVersion -= lag;
   }
-  if (reader.mFailed || lags.mFailed) {
+  if (reader.mFailed || !DecodeVersions(aMessage, entries)) {
     return std::nullopt;
   }
   return entries;
--- a/src/libs/membership/gossip.cpp
+++ b/src/libs/membership/gossip.cpp
@@ -97,7 +97,8 @@
     const size_t chosen = Base::NextBelow(aRandom, contacts.size());
     Message message = MakeGossip(aState, aSettings, aNow, Base::NextRandom(aRandom));
     if (message.deltas_size() == 0) {
-      *message.add_deltas() = MakeDelta(OwnRecord(aState), 0, aNow, aSettings.mMaxPayload / 2);
+      *message.add_deltas() =
+        MakeDelta(aState, OwnRecord(aState), 0, aNow, aSettings.mMaxPayload / 2);
     }
     aOutbox.push_back({ Base::InstanceId(), contacts[chosen], std::move(message) });
     contacts.erase(contacts.begin() + static_cast<ptrdiff_t>(chosen));
--- a/src/libs/membership/leases.cpp
+++ b/src/libs/membership/leases.cpp
@@ -150,6 +150,7 @@
   const bool sameStart = continues && aKnown.mBest.mClaim->mStartId == aAnnouncement.mStartId;
   Claim claim;
   claim.mEndpoint = aAnnouncement.mEndpoint;
+  claim.mAvailabilityZone = OwnRecord(aState).mAvailabilityZone;
   claim.mService = aAnnouncement.mService;
   claim.mGeneration = aAnnouncement.mGeneration;
   claim.mStartId = aAnnouncement.mStartId;
@@ -216,7 +217,7 @@
     // A retried call brings no news, and its delay is unknown, so it does not renew the lease.
     return result;
   }
-  const Base::InstanceId dispatcher = DispatcherOf(aState, aAnnouncement.mEndpoint);
+  const Base::InstanceId dispatcher = LoadReceiver(aState, aAnnouncement.mEndpoint);
   const bool plain =
     known.mBlocking && best->mState != ClaimState::Released && !IsChange(aAnnouncement, *best);
   if (plain && known.mBest.mHolder == &OwnRecord(aState)) {
@@ -352,18 +353,18 @@
 }
 
 Base::InstanceId
-DispatcherOf(const State& aState, const Base::Endpoint& aUpstream)
+LoadReceiver(const State& aState, const Base::Endpoint& aUpstream)
 {
-  // Must select the same member as RendezvousMember on the view with this key.
+  // This instance is alive and in the upstream's availability zone, so one is always found.
+  const std::string& zone = FindRecord(aState, aState.mSelf)->mAvailabilityZone;
   const uint64_t key = Base::Pack(aUpstream);
   Base::InstanceId best = aState.mSelf;
-  uint64_t bestScore = 0;
+  uint64_t bestScore = Base::StableHash({ key, aState.mSelf.mValue });
   for (const auto& [id, record] : aState.mRecords) {
-    if (!IsInRing(record) || record.mState != lw::membership::ALIVE) {
-      continue;
-    }
-    const uint64_t score = Base::StableHash({ key, id.mValue });
-    if (score >= bestScore) {
+    const bool eligible = IsInRing(record) && record.mState == lw::membership::ALIVE &&
+                          record.mAvailabilityZone == zone;
+    const uint64_t score = eligible ? Base::StableHash({ key, id.mValue }) : 0;
+    if (score > bestScore) {
       best = id;
       bestScore = score;
     }
--- a/src/libs/membership/leases.h
+++ b/src/libs/membership/leases.h
@@ -61,8 +61,9 @@
              const std::set<Base::ServiceGeneration>& aGenerations,
              Base::TimePoint aNow);
 
-/// \return the member that receives the load reports of an upstream: its dispatcher.
+/// \return the member that receives the load reports of an upstream that announces itself here.
+/// Selects the same member as DispatcherOf on the view.
 Base::InstanceId
-DispatcherOf(const State& aState, const Base::Endpoint& aUpstream);
+LoadReceiver(const State& aState, const Base::Endpoint& aUpstream);
 
 } // namespace Membership
--- a/src/libs/membership/probing.cpp
+++ b/src/libs/membership/probing.cpp
@@ -58,6 +58,7 @@
 void
 DeclareDead(State& aState, Record& aRecord, uint32_t aCounter, Base::TimePoint aNow)
 {
+  ++aState.mRevision;
   aRecord.mHealth = Health::Dead;
   aRecord.mHealthCounter = std::max(aRecord.mNewest, aCounter);
   aRecord.mHealthSince = aNow;
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -1,5 +1,6 @@
 #include "membership/protocol.h"
 
+#include "base/hash.h"
 #include "membership/compose.h"
 #include "membership/digest.h"
 #include "membership/gossip.h"
@@ -16,7 +17,8 @@
 using lw::membership::Message;
 
 constexpr Base::Duration kPullSpacing = std::chrono::milliseconds(150);
-constexpr int kMaxPulls = 50;
+/// Pulls and rumors in one answer. Keeps them within one datagram.
+constexpr int kMaxPulls = 40;
 /// A tick that is late by more means that the process was stopped, and that datagrams have waited.
 constexpr Base::Duration kPause = std::chrono::milliseconds(500);
 /// Clocks may run apart by this much per second; the smallest clock difference is raised by it.
@@ -188,6 +190,7 @@
 {
   State state;
   state.mSelf = aIdentity.mId;
+  state.mGroup = static_cast<uint32_t>(Base::StableHash(aIdentity.mRegion));
   state.mStartedAt = aNow;
   state.mLastTick = aNow;
   state.mNextGossip = aNow;
@@ -197,6 +200,7 @@
   Record& own = state.mRecords[aIdentity.mId];
   own.mId = aIdentity.mId;
   own.mIncarnation = aIdentity.mIncarnation;
+  own.mAvailabilityZone = aIdentity.mAvailabilityZone;
   own.mEndpoint = aIdentity.mPeerEndpoint;
   own.mEpoch = 1;
   AdvanceOwnCounter(state);
@@ -241,7 +245,7 @@
     return {};
   }
   UpdateOwnClaims(aState, aSettings, aNow);
-  ReplyWriter reply{ aSettings };
+  ReplyWriter reply{ aState, aSettings };
   Outbox outbox;
   HandleDeltas(aState, aMessage, aNow, reply.First());
   TellSenderItsRecord(aState, aSender, aNow, reply);
@@ -263,7 +267,7 @@
     AnswerPull(aState, pull, aNow, reply);
   }
   if (aMessage.joining() && aMessage.digest_complete()) {
-    AddFullDigest(aState, 0, aNow, reply.First());
+    AddFullDigest(aState, 0, aNow, reply.mMessages.emplace_back());
   }
   for (Outgoing& outgoing : outbox) {
     AddCommonFields(aState, aNow, outgoing.mMessage);
@@ -304,7 +308,7 @@
     const Record& peer = *FindRecord(aState, ring[chosen]);
     Message message;
     AddCommonFields(aState, aNow, message);
-    *message.add_deltas() = MakeDelta(own, own.mHotFrom, aNow, kMaxDigestEntries * 4);
+    *message.add_deltas() = MakeDelta(aState, own, own.mHotFrom, aNow, kMaxDigestEntries * 4);
     outbox.push_back({ peer.mId, peer.mEndpoint, std::move(message) });
     ring.erase(ring.begin() + static_cast<ptrdiff_t>(chosen));
   }
--- a/src/libs/membership/protocol.h
+++ b/src/libs/membership/protocol.h
@@ -11,6 +11,8 @@
   Base::InstanceId mId;
   Base::Incarnation mIncarnation;
   Base::Endpoint mPeerEndpoint;
+  std::string mRegion;
+  std::string mAvailabilityZone;
 };
 
 /// \return the state of an instance that knows nothing yet. It joins through the seeds with the
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -33,8 +33,9 @@
 }
 
 void
-MarkHot(const State& aState, Record& aRecord, uint32_t aFrom)
+MarkHot(State& aState, Record& aRecord, uint32_t aFrom)
 {
+  ++aState.mRevision;
   if (aRecord.mHotSends == 0 || aFrom < aRecord.mHotFrom) {
     aRecord.mHotFrom = aFrom;
   }
@@ -61,12 +62,14 @@
 void
 ApplyHeader(State& aState, Record& aRecord, const RecordDelta& aDelta, Base::TimePoint aNow)
 {
-  if (aDelta.newest() < aRecord.mNewest) {
+  if (aDelta.newest() <= aRecord.mNewest) {
     return;
   }
+  ++aState.mRevision;
   aRecord.mNewest = aDelta.newest();
   aRecord.mState = aDelta.state();
   aRecord.mSuccessor = Base::InstanceId(aDelta.successor());
+  aRecord.mAvailabilityZone = aDelta.availability_zone();
   aRecord.mEndpoint = *DecodeEndpoint(aDelta.address(), aDelta.port());
   if (aRecord.mHealth != Health::Alive && aRecord.mNewest > aRecord.mHealthCounter) {
     aRecord.mHealth = Health::Alive;
@@ -161,6 +164,7 @@
     if (!claim) {
       return false;
     }
+    claim->mAvailabilityZone = aRecord.mAvailabilityZone;
     claims.push_back(std::move(*claim));
   }
   if (aDelta.from() == 0) {
@@ -265,9 +269,14 @@
 }
 
 RecordDelta
-MakeDelta(const Record& aRecord, uint32_t aFrom, Base::TimePoint aNow, size_t aMaxBytes)
+MakeDelta(const State& aState,
+          const Record& aRecord,
+          uint32_t aFrom,
+          Base::TimePoint aNow,
+          size_t aMaxBytes)
 {
   RecordDelta delta;
+  delta.set_group(aState.mGroup);
   delta.set_id(aRecord.mId.mValue);
   delta.set_incarnation(aRecord.mIncarnation.mValue);
   delta.set_epoch(aRecord.mEpoch);
@@ -275,6 +284,7 @@
   delta.set_to(aRecord.mCopied);
   delta.set_newest(aRecord.mCopied);
   delta.set_state(aRecord.mState);
+  delta.set_availability_zone(aRecord.mAvailabilityZone);
   delta.set_address(aRecord.mEndpoint.mAddress);
   delta.set_port(aRecord.mEndpoint.mPort);
   delta.set_successor(aRecord.mSuccessor.mValue);
@@ -305,10 +315,11 @@
 ApplyDelta(State& aState, const RecordDelta& aDelta, Base::TimePoint aNow)
 {
   const Base::InstanceId id(aDelta.id());
-  const bool malformed = !DecodeEndpoint(aDelta.address(), aDelta.port()) || id.mValue == 0 ||
-                         aDelta.state() == lw::membership::INSTANCE_STATE_UNSPECIFIED ||
-                         aDelta.from() > aDelta.to() || aDelta.to() > aDelta.newest();
-  if (malformed) {
+  const bool refused = aDelta.group() != aState.mGroup ||
+                       !DecodeEndpoint(aDelta.address(), aDelta.port()) || id.mValue == 0 ||
+                       aDelta.state() == lw::membership::INSTANCE_STATE_UNSPECIFIED ||
+                       aDelta.from() > aDelta.to() || aDelta.to() > aDelta.newest();
+  if (refused) {
     return DeltaOutcome::Rejected;
   }
   Record* record = FindRecord(aState, id);
--- a/src/libs/membership/records.h
+++ b/src/libs/membership/records.h
@@ -43,11 +43,15 @@
 /// Makes the part of a record that is newer than aFrom.
 /// \param aMaxBytes limits the size; claims that do not fit are left for a later delta.
 lw::membership::RecordDelta
-MakeDelta(const Record& aRecord, uint32_t aFrom, Base::TimePoint aNow, size_t aMaxBytes);
+MakeDelta(const State& aState,
+          const Record& aRecord,
+          uint32_t aFrom,
+          Base::TimePoint aNow,
+          size_t aMaxBytes);
 
 enum class DeltaOutcome
 {
-  /// Malformed.
+  /// Malformed, or of another region.
   Rejected,
   /// Nothing new.
   Known,
--- a/src/libs/membership/state.h
+++ b/src/libs/membership/state.h
@@ -17,7 +17,7 @@
 namespace Membership {
 
 /// Times and limits of the protocol. The defaults meet the requirements in docs/design.md; all
-/// instances of an availability zone must use the same lease, coverage and hold.
+/// instances of a region must use the same lease, coverage and hold.
 struct Settings
 {
   std::vector<Base::Endpoint> mSeeds;
@@ -57,6 +57,8 @@
 {
   uint32_t mCounter = 0;
   Base::Endpoint mEndpoint;
+  /// That of the holder, because upstreams announce themselves in their own availability zone.
+  std::string mAvailabilityZone;
   std::string mService;
   Base::ServiceGeneration mGeneration;
   uint64_t mStartId = 0;
@@ -97,6 +99,7 @@
   uint32_t mFloor = 0;
   lw::membership::InstanceState mState = lw::membership::ALIVE;
   Base::InstanceId mSuccessor;
+  std::string mAvailabilityZone;
   Base::Endpoint mEndpoint;
   Base::ConfigVersion mVersionInForce;
   std::vector<Claim> mClaims;
@@ -192,12 +195,14 @@
   uint64_t mRejectedMessages = 0;
 };
 
-/// All that one instance knows of its availability zone. Owned by the instance and lost with it; a
+/// All that one instance knows of its region. Owned by the instance and lost with it; a
 /// restarted instance gets it again from its peers. Bounded by the members and upstreams of the
-/// availability zone and the limits of the parts.
+/// region and the limits of the parts.
 struct State
 {
   Base::InstanceId mSelf;
+  /// Hash of the region's name; records of other groups are refused.
+  uint32_t mGroup = 0;
   Base::TimePoint mStartedAt;
   Base::TimePoint mLastTick;
   bool mReady = false;
@@ -217,6 +222,8 @@
   Base::TimePoint mNextContact;
   uint32_t mNextSequence = 1;
   uint32_t mGossipRound = 0;
+  /// Grows with each change of members or claims, but not with the extension of leases.
+  uint64_t mRevision = 0;
   Counts mCounts;
 };
 
--- a/src/libs/membership/viewbuilder.cpp
+++ b/src/libs/membership/viewbuilder.cpp
@@ -15,6 +15,7 @@
   const Claim& claim = *aVerdict.mBest.mClaim;
   Upstream upstream;
   upstream.mEndpoint = claim.mEndpoint;
+  upstream.mAvailabilityZone = claim.mAvailabilityZone;
   upstream.mService = claim.mService;
   upstream.mGeneration = claim.mGeneration;
   upstream.mStartId = claim.mStartId;
@@ -36,6 +37,7 @@
 {
   View view;
   view.mSelf = aState.mSelf;
+  view.mAvailabilityZone = FindRecord(aState, aState.mSelf)->mAvailabilityZone;
   view.mDeparted = aState.mDeparted;
   for (const auto& [id, record] : aState.mRecords) {
     if (!IsInRing(record)) {
@@ -43,6 +45,7 @@
     }
     const bool alive = record.mState == lw::membership::ALIVE;
     view.mMembers.push_back({ id,
+                              record.mAvailabilityZone,
                               record.mIncarnation,
                               record.mEndpoint,
                               alive ? MemberState::Alive : MemberState::Leaving,
--- /dev/null
+++ b/src/tools/entry/membershipagent.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/runtimeclock.h"
+#include "base/snapshot.h"
+#include "config/serviceindex.h"
+#include "entrysettings.h"
+#include "membership/leases.h"
+#include "membership/state.h"
+#include "membership/view.h"
+#include "metrics/registry.h"
+#include "peertransport.h"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+
+#include <mutex>
+#include <vector>
+
+namespace Entry {
+
+/// Runs the membership protocol over the peer transport and publishes the view of the region.
+class MembershipAgent
+{
+public:
+  MembershipAgent(boost::asio::io_context& aContext,
+                  const EntrySettings& aSettings,
+                  Base::Incarnation aIncarnation,
+                  PeerTransport& aTransport,
+                  const Base::Snapshot<Config::ServiceIndex>& aServices,
+                  Metrics::Registry& aMetrics);
+
+  void Start();
+
+  /// Tells the peers that this instance leaves, and names a successor.
+  void Leave();
+
+  /// Tells the peers that this instance has left. Call it last.
+  void FinishLeave();
+
+  /// Takes an announcement of an upstream; may be called from any thread.
+  Membership::AnnounceResult Announce(const Membership::Announcement& aAnnouncement);
+
+  const Base::Snapshot<Membership::View>& View() const { return mView; }
+
+private:
+  struct CountedEvent
+  {
+    uint64_t Membership::Counts::*mSource;
+    Metrics::Counter& mCounter;
+  };
+  using Timer = boost::asio::basic_waitable_timer<Base::RuntimeClock>;
+
+  void Tick();
+  void HandlePeer(const PeerSender& aSender, absl::string_view aPayload);
+  void Send(const Membership::Outbox& aOutbox);
+  void FollowConfiguration(Base::TimePoint aNow);
+  void PublishIfDue(Base::TimePoint aNow);
+  void UpdateCounters();
+
+  PeerTransport& mTransport;
+  const Base::Snapshot<Config::ServiceIndex>& mServices;
+  Membership::Settings mSettings;
+  Timer mTimer;
+  std::vector<CountedEvent> mEvents;
+  Metrics::Counter& mSentMessages;
+  Metrics::Counter& mSentBytes;
+  Metrics::Counter& mMalformed;
+  Metrics::Gauge& mMembers;
+  Metrics::Gauge& mUpstreams;
+
+  std::mutex mMutex;
+  Base::RandomSource mRandom;
+  Membership::State mState;
+  Membership::Counts mCounted;
+  Base::ConfigVersion mFollowedVersion;
+  uint64_t mPublishedRevision = 0;
+  Base::TimePoint mPublishedAt;
+  Base::Snapshot<Membership::View> mView;
+};
+
+} // namespace Entry
--- a/src/tools/measure/membershipnetwork.cpp
+++ b/src/tools/measure/membershipnetwork.cpp
@@ -134,7 +134,9 @@
   }
   const Membership::Identity identity{ Base::InstanceId(aId),
                                        Base::Incarnation(Base::NextRandom(aNetwork.mRandom)),
-                                       EndpointOf(aId) };
+                                       EndpointOf(aId),
+                                       "izmir-north",
+                                       aId % 2 == 0 ? "carsi-hall" : "liman-depot" };
   node.mState = Membership::Start(identity, aNetwork.mNow, node.mRandom);
   aNetwork.mNodes[aId] = std::move(node);
 }
--- a/tests/auto/membership/tst_leases.cpp
+++ b/tests/auto/membership/tst_leases.cpp
@@ -340,7 +340,9 @@
   Base::RuntimeClock::Pause();
   Base::RandomSource random{ 1 };
   const Membership::Settings settings;
-  const Membership::Identity identity{ Base::InstanceId(1), Base::Incarnation(1), EndpointOf(1) };
+  const Membership::Identity identity{
+    Base::InstanceId(1), Base::Incarnation(1), EndpointOf(1), "", ""
+  };
   const auto now = [] { return Base::RuntimeClock::now(); };
   Membership::State state = Membership::Start(identity, now(), random);
   Base::RuntimeClock::Advance(settings.mJoinWait);
--- a/tests/auto/membership/tst_members.cpp
+++ b/tests/auto/membership/tst_members.cpp
@@ -225,7 +225,7 @@
     message.set_clock_ms(1000000);
     message.set_joining(true);
     message.set_digest(bytes);
-    message.set_version_lags(bytes.substr(bytes.size() / 2));
+    message.set_version_differences(bytes.substr(bytes.size() / 2));
     Membership::HandleMessage(node.mState, node.mSettings, sender, message, network.mNow);
   }
   CHECK_TRUE(node.mState.mCounts.mRejectedMessages > 1000);
