Give each start of an upstream its own hold

Cause: a random test of address reuse (P2) found two services on one address: a copy carried a finished hold over to a later claim, and, across a partition, a process of another service ran within the lease of the first one, which then continued without a hold. Starts on one address follow each other in time, so a hold for each start excludes this.

--- a/src/libs/membership/claimcodec.cpp
+++ b/src/libs/membership/claimcodec.cpp
@@ -9,8 +9,6 @@
 constexpr Base::Duration kTenth = std::chrono::milliseconds(100);
 /// An upstream that started longer ago counts as warm; slow start takes 10 s.
 constexpr uint32_t kWarmTenths = 600;
-/// Longest hold that is accepted, so that a corrupt message cannot block an address for long.
-constexpr uint32_t kMaxHoldTenths = 600;
 constexpr uint32_t kMaxPort = 65535;
 
 lw::membership::ClaimState
@@ -81,10 +79,9 @@
   message.set_overdue(aClaim.mOverdue);
   message.set_slots(aClaim.mSlots);
   message.set_load(aClaim.mLoad);
-  // Rounding up delays the first use and is therefore safe.
-  message.set_hold_tenths(TenthsRoundedUp(aClaim.mUsableFrom - aNow));
-  const uint32_t age = TenthsRoundedUp(aNow - aClaim.mStartedAt);
-  message.set_start_age_tenths(age < kWarmTenths ? age + 1 : 0);
+  // Rounding down makes the hold end later and is therefore safe.
+  const auto age = std::max<int64_t>((aNow - aClaim.mStartedAt) / kTenth, 0);
+  message.set_start_age_tenths(age < kWarmTenths ? static_cast<uint32_t>(age) + 1 : 0);
   return message;
 }
 
@@ -110,7 +107,6 @@
   claim.mSlots = aMessage.slots();
   claim.mLoad = aMessage.load();
   claim.mLoadAt = aNow;
-  claim.mUsableFrom = aNow + kTenth * std::min(aMessage.hold_tenths(), kMaxHoldTenths);
   const uint32_t age = aMessage.start_age_tenths();
   claim.mStartedAt = aNow - kTenth * (age == 0 ? kWarmTenths : std::min(age - 1, kWarmTenths));
   claim.mRenewedAt = aNow;
--- a/src/libs/membership/claimorder.cpp
+++ b/src/libs/membership/claimorder.cpp
@@ -54,11 +54,12 @@
   if (verdict.mBest.mClaim == nullptr) {
     return verdict;
   }
-  verdict.mUsableFrom = verdict.mBest.mClaim->mUsableFrom;
+  verdict.mStartedAt = verdict.mBest.mClaim->mStartedAt;
   verdict.mLeaseEnd = verdict.mBest.mClaim->mLeaseEnd;
   for (const ClaimRef* ref = aFirst; ref != aEnd; ++ref) {
-    if (ref->mClaim->mLeaseEnd > aNow) {
-      verdict.mUsableFrom = std::min(verdict.mUsableFrom, ref->mClaim->mUsableFrom);
+    const bool sameStart = ref->mClaim->mStartId == verdict.mBest.mClaim->mStartId;
+    if (sameStart && ref->mClaim->mLeaseEnd > aNow) {
+      verdict.mStartedAt = std::min(verdict.mStartedAt, ref->mClaim->mStartedAt);
       verdict.mLeaseEnd = std::max(verdict.mLeaseEnd, ref->mClaim->mLeaseEnd);
     }
   }
@@ -77,7 +78,7 @@
   if (aLeft.mBlocking != aRight.mBlocking) {
     return aLeft.mBlocking;
   }
-  const Base::Duration later = aLeft.mUsableFrom - aRight.mUsableFrom;
+  const Base::Duration later = aLeft.mStartedAt - aRight.mStartedAt;
   if (later > kHoldPrecision || later < -kHoldPrecision) {
     return later < Base::Duration::zero();
   }
--- a/src/libs/membership/claimorder.h
+++ b/src/libs/membership/claimorder.h
@@ -18,7 +18,7 @@
 {
   /// The claim that counts, or none.
   ClaimRef mBest;
-  Base::TimePoint mUsableFrom;
+  Base::TimePoint mStartedAt;
   Base::TimePoint mLeaseEnd;
   /// The address is bound to the service of mBest now.
   bool mBlocking = false;
--- a/src/libs/membership/leases.cpp
+++ b/src/libs/membership/leases.cpp
@@ -145,9 +145,9 @@
      Base::TimePoint aHeardAt,
      Base::TimePoint aNow)
 {
-  const bool continues =
-    aKnown.mBlocking && aKnown.mBest.mClaim->mGeneration == aAnnouncement.mGeneration;
-  const bool sameStart = continues && aKnown.mBest.mClaim->mStartId == aAnnouncement.mStartId;
+  const bool continues = aKnown.mBlocking &&
+                         aKnown.mBest.mClaim->mGeneration == aAnnouncement.mGeneration &&
+                         aKnown.mBest.mClaim->mStartId == aAnnouncement.mStartId;
   Claim claim;
   claim.mEndpoint = aAnnouncement.mEndpoint;
   claim.mAvailabilityZone = OwnRecord(aState).mAvailabilityZone;
@@ -159,8 +159,7 @@
   claim.mSlots = aAnnouncement.mSlots;
   claim.mLoad = aAnnouncement.mLoad;
   claim.mLoadAt = aHeardAt;
-  claim.mUsableFrom = continues ? aKnown.mUsableFrom : aNow + aSettings.mHold;
-  claim.mStartedAt = sameStart ? aKnown.mBest.mClaim->mStartedAt : aNow;
+  claim.mStartedAt = continues ? aKnown.mStartedAt : aNow;
   claim.mRenewedAt = aHeardAt;
   claim.mLeaseEnd = claim.mState == ClaimState::Left ? aNow : aHeardAt + aSettings.mLease;
   if (aKnown.mBest.mHolder != nullptr && aKnown.mBest.mHolder->mId != aState.mSelf) {
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -81,7 +81,8 @@
   if (record == nullptr) {
     return;
   }
-  if (!IsInRing(*record) && record->mState != lw::membership::LEFT) {
+  if (!IsInRing(*record) && record->mState != lw::membership::LEFT &&
+      aReply.First().rumors_size() < kMaxPulls) {
     *aReply.First().add_rumors() = MakeRumor(*record, aNow);
   }
   if (aPull.epoch() > record->mEpoch ||
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -90,18 +90,25 @@
   return found != aClaims.end() ? &*found : nullptr;
 }
 
+bool
+IsSameStart(const Claim& aLeft, const Claim& aRight)
+{
+  return aLeft.mGeneration == aRight.mGeneration && aLeft.mStartId == aRight.mStartId;
+}
+
 void
-MergeClaim(std::vector<Claim>& aClaims, Claim aClaim)
+MergeClaim(std::vector<Claim>& aClaims, Claim aClaim, Base::TimePoint aNow)
 {
   Claim* known = FindClaim(aClaims, aClaim.mEndpoint);
   if (known == nullptr) {
     aClaims.push_back(std::move(aClaim));
     return;
   }
-  if (known->mGeneration == aClaim.mGeneration) {
-    // The running lease goes on: the change itself is no renewal and no interruption.
+  if (IsSameStart(*known, aClaim) && known->mLeaseEnd > aNow) {
+    // The running lease goes on: the change itself is no renewal and no interruption. After the end
+    // of a lease nothing is carried over, because another service may have had the address.
     aClaim.mLeaseEnd = known->mLeaseEnd;
-    aClaim.mUsableFrom = std::min(aClaim.mUsableFrom, known->mUsableFrom);
+    aClaim.mStartedAt = std::min(aClaim.mStartedAt, known->mStartedAt);
   }
   *known = std::move(aClaim);
 }
@@ -138,18 +145,18 @@
   return record;
 }
 
-/// A holder without memory starts a hold for an upstream that others use already. The address has
-/// been in the service all the time, so an instance that knows its lease goes on.
+/// A holder without memory starts a hold for an upstream that others use already. An instance that
+/// knows the lease of the same start goes on.
 void
 ContinueHolds(State& aState, Record& aRecord, Base::TimePoint aNow)
 {
   for (Claim& claim : aRecord.mClaims) {
-    if (claim.mUsableFrom <= aNow) {
+    if (claim.mStartedAt + kHold <= aNow) {
       continue;
     }
     for (const ClaimRef& known : ClaimsOf(aState, claim.mEndpoint)) {
-      if (known.mClaim->mGeneration == claim.mGeneration && known.mClaim->mLeaseEnd > aNow) {
-        claim.mUsableFrom = std::min(claim.mUsableFrom, known.mClaim->mUsableFrom);
+      if (IsSameStart(*known.mClaim, claim) && known.mClaim->mLeaseEnd > aNow) {
+        claim.mStartedAt = std::min(claim.mStartedAt, known.mClaim->mStartedAt);
       }
     }
   }
@@ -171,7 +178,7 @@
     RemoveUnlisted(aState, aRecord, aDelta, aNow);
   }
   for (Claim& claim : claims) {
-    MergeClaim(aRecord.mClaims, std::move(claim));
+    MergeClaim(aRecord.mClaims, std::move(claim), aNow);
   }
   ContinueHolds(aState, aRecord, aNow);
   return true;
--- a/src/libs/membership/state.h
+++ b/src/libs/membership/state.h
@@ -35,14 +35,19 @@
   /// A beat vouches for upstreams that renewed within this time, so it extends their leases by
   /// mLease - mCoverage. It allows for half a renewal interval of delay.
   Base::Duration mCoverage = std::chrono::milliseconds(1500);
-  /// Lease plus a margin of 1 s for delays in dissemination.
-  Base::Duration mHold = std::chrono::seconds(6);
   /// An instance without an answer from any seed accepts announcements after this time.
   Base::Duration mJoinWait = std::chrono::seconds(2);
   /// Payload of one datagram, in bytes. Stays below an MTU of 1500 with all headers.
   size_t mMaxPayload = 1200;
 };
 
+/// Lease plus a margin of 1 s for delays in dissemination. Each start of an upstream waits for it,
+/// also within one service: starts on one address follow each other, so the last use of one, at
+/// most a lease after its last call, always precedes the first use of the next one. Carrying a hold
+/// over to the next start failed when a process of another service ran in between on the other side
+/// of a partition.
+constexpr Base::Duration kHold = std::chrono::seconds(6);
+
 enum class ClaimState
 {
   Active,
@@ -68,7 +73,7 @@
   uint32_t mSlots = 1;
   uint32_t mLoad = 0;
   Base::TimePoint mLoadAt;
-  Base::TimePoint mUsableFrom;
+  /// First announcement of this start into this service; the hold runs from it.
   Base::TimePoint mStartedAt;
   Base::TimePoint mLeaseEnd;
   /// At the holder: last renewal. Elsewhere: when this instance learned of the last change.
--- a/src/libs/membership/view.h
+++ b/src/libs/membership/view.h
@@ -53,7 +53,8 @@
   /// It gets no packet before this time, see the address reuse rule in docs/design.md.
   Base::TimePoint mUsableFrom;
   Base::TimePoint mLeaseEnd;
-  /// First announcement of this start. A recent one means a cold upstream, for the slow start.
+  /// First announcement of this start. The slow start of a cold upstream begins 6 s later, when the
+  /// first packet is allowed.
   Base::TimePoint mStartedAt;
   /// When mLoad was reported. Current at the upstream's dispatcher and its lease holder only.
   Base::TimePoint mLoadAt;
--- a/src/libs/membership/viewbuilder.cpp
+++ b/src/libs/membership/viewbuilder.cpp
@@ -24,9 +24,9 @@
   upstream.mSlots = claim.mSlots;
   upstream.mLoad = claim.mLoad;
   upstream.mLoadAt = claim.mLoadAt;
-  upstream.mUsableFrom = aVerdict.mUsableFrom;
+  upstream.mUsableFrom = aVerdict.mStartedAt + kHold;
   upstream.mLeaseEnd = aVerdict.mLeaseEnd;
-  upstream.mStartedAt = claim.mStartedAt;
+  upstream.mStartedAt = aVerdict.mStartedAt;
   return upstream;
 }
 
--- a/src/tools/measure/membershipnetwork.cpp
+++ b/src/tools/measure/membershipnetwork.cpp
@@ -139,6 +139,10 @@
                                        aId % 2 == 0 ? "carsi-hall" : "liman-depot" };
   node.mState = Membership::Start(identity, aNetwork.mNow, node.mRandom);
   aNetwork.mNodes[aId] = std::move(node);
+  // What waited in the socket of the earlier process is gone with it.
+  for (auto entry = aNetwork.mInFlight.begin(); entry != aNetwork.mInFlight.end();) {
+    entry = entry->second.mTo == aId ? aNetwork.mInFlight.erase(entry) : std::next(entry);
+  }
 }
 
 void
