--- a/src/libs/membership/compose.cpp
+++ b/src/libs/membership/compose.cpp
@@ -40,7 +40,7 @@
       continue;
     }
     const size_t left = aSettings.mMaxPayload - std::min(bytes, aSettings.mMaxPayload);
-    const auto delta = MakeDelta(aState, record, record.mHotFrom, aNow, left);
+    const auto delta = MakeDelta(aState, record, record.mHotFrom, record.mHotFrom, aNow, left);
     const size_t size = delta.ByteSizeLong() + 3;
     if (bytes + size > aSettings.mMaxPayload) {
       return;
@@ -81,9 +81,12 @@
 }
 
 void
-ReplyWriter::AddDelta(const Record& aRecord, uint32_t aFrom, Base::TimePoint aNow)
+ReplyWriter::AddDelta(const Record& aRecord,
+                      uint32_t aFrom,
+                      uint32_t aRemovals,
+                      Base::TimePoint aNow)
 {
-  const auto delta = MakeDelta(mState, aRecord, aFrom, aNow, mSettings.mMaxPayload / 2);
+  const auto delta = MakeDelta(mState, aRecord, aFrom, aRemovals, aNow, mSettings.mMaxPayload / 2);
   const size_t bytes = mMessages.back().ByteSizeLong() + delta.ByteSizeLong() + 3;
   if (bytes > mSettings.mMaxPayload) {
     if (mMessages.size() >= kMaxAnswers) {
--- a/src/libs/membership/compose.h
+++ b/src/libs/membership/compose.h
@@ -37,8 +37,8 @@
 
   lw::membership::Message& First() { return mMessages.front(); }
 
-  /// Adds the part of a record after aFrom, unless the limit of datagrams is reached.
-  void AddDelta(const Record& aRecord, uint32_t aFrom, Base::TimePoint aNow);
+  /// Adds a part of a record as MakeDelta makes it, unless the limit of datagrams is reached.
+  void AddDelta(const Record& aRecord, uint32_t aFrom, uint32_t aRemovals, Base::TimePoint aNow);
 };
 
 } // namespace Membership
--- a/src/libs/membership/gossip.cpp
+++ b/src/libs/membership/gossip.cpp
@@ -98,7 +98,7 @@
     Message message = MakeGossip(aState, aSettings, aNow, Base::NextRandom(aRandom));
     if (message.deltas_size() == 0) {
       *message.add_deltas() =
-        MakeDelta(aState, OwnRecord(aState), 0, aNow, aSettings.mMaxPayload / 2);
+        MakeDelta(aState, OwnRecord(aState), 0, 0, aNow, aSettings.mMaxPayload / 2);
     }
     aOutbox.push_back({ Base::InstanceId(), contacts[chosen], std::move(message) });
     contacts.erase(contacts.begin() + static_cast<ptrdiff_t>(chosen));
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -66,6 +66,7 @@
     record->mPulledAt = aNow;
     pull->set_epoch(record->mEpoch);
     pull->set_counter(record->mCopied);
+    pull->set_removals(record->mRemovals);
   }
   ++aState.mCounts.mPulls;
 }
@@ -91,8 +92,8 @@
     return;
   }
   // Equal counters mean that two runs share an epoch; the header decides which one is newer.
-  const uint32_t from = aPull.epoch() == record->mEpoch ? aPull.counter() : 0;
-  aReply.AddDelta(*record, from, aNow);
+  const bool sameRun = aPull.epoch() == record->mEpoch;
+  aReply.AddDelta(*record, sameRun ? aPull.counter() : 0, sameRun ? aPull.removals() : 0, aNow);
 }
 
 void
@@ -178,7 +179,7 @@
     return;
   }
   if (record->mIncarnation != aSender.mIncarnation) {
-    aReply.AddDelta(*record, record->mCopied, aNow);
+    aReply.AddDelta(*record, record->mCopied, record->mRemovals, aNow);
   } else if (record->mHealth != Health::Alive) {
     *aReply.First().add_rumors() = MakeRumor(*record, aNow);
   }
@@ -309,7 +310,8 @@
     const Record& peer = *FindRecord(aState, ring[chosen]);
     Message message;
     AddCommonFields(aState, aNow, message);
-    *message.add_deltas() = MakeDelta(aState, own, own.mHotFrom, aNow, kMaxDigestEntries * 4);
+    *message.add_deltas() =
+      MakeDelta(aState, own, own.mHotFrom, own.mHotFrom, aNow, kMaxDigestEntries * 4);
     outbox.push_back({ peer.mId, peer.mEndpoint, std::move(message) });
     ring.erase(ring.begin() + static_cast<ptrdiff_t>(chosen));
   }
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -261,7 +261,7 @@
 {
   Record& own = OwnRecord(aState);
   MarkHot(aState, own, own.mCopied);
-  own.mNewest = ++own.mCopied;
+  own.mNewest = own.mRemovals = ++own.mCopied;
   return own.mCopied;
 }
 
@@ -279,6 +279,7 @@
 MakeDelta(const State& aState,
           const Record& aRecord,
           uint32_t aFrom,
+          uint32_t aRemovals,
           Base::TimePoint aNow,
           size_t aMaxBytes)
 {
@@ -287,7 +288,7 @@
   delta.set_id(aRecord.mId.mValue);
   delta.set_incarnation(aRecord.mIncarnation.mValue);
   delta.set_epoch(aRecord.mEpoch);
-  delta.set_from(aFrom < aRecord.mFloor ? 0 : aFrom);
+  delta.set_from(aRemovals < aRecord.mFloor ? 0 : aFrom);
   delta.set_to(aRecord.mCopied);
   delta.set_newest(aRecord.mCopied);
   delta.set_state(aRecord.mState);
@@ -355,6 +356,10 @@
   }
   MarkHot(aState, *record, aDelta.from());
   record->mCopied = aDelta.to();
+  if (replaces) {
+    record->mRemovals = record->mFloor = aDelta.newest();
+  }
+  record->mRemovals = std::max(record->mRemovals, record->mCopied);
   return aDelta.to() < aDelta.newest() ? DeltaOutcome::Gap : DeltaOutcome::Applied;
 }
 
@@ -378,7 +383,7 @@
       dead.emplace_back(record.mBeat, id);
       if (aNow - record.mBeat > kDeadClaimTime && !record.mClaims.empty()) {
         record.mClaims.clear();
-        record.mCopied = 0;
+        record.mCopied = record.mRemovals = 0;
       }
     }
   }
--- a/src/libs/membership/records.h
+++ b/src/libs/membership/records.h
@@ -40,12 +40,14 @@
 void
 OutbidOwnEpoch(State& aState, uint32_t aEpoch);
 
-/// Makes the part of a record that is newer than aFrom.
+/// Makes the part of a record that is newer than aFrom, or the whole record if removals of claims
+/// after aRemovals are forgotten here.
 /// \param aMaxBytes limits the size; claims that do not fit are left for a later delta.
 lw::membership::RecordDelta
 MakeDelta(const State& aState,
           const Record& aRecord,
           uint32_t aFrom,
+          uint32_t aRemovals,
           Base::TimePoint aNow,
           size_t aMaxBytes);
 
--- a/src/libs/membership/state.h
+++ b/src/libs/membership/state.h
@@ -100,7 +100,11 @@
   uint32_t mCopied = 0;
   /// Highest counter seen in a header.
   uint32_t mNewest = 0;
-  /// Claims removed up to this counter are forgotten; an older copy must be replaced as a whole.
+  /// Removals of claims are known here up to this counter. At least mCopied; larger while a copy is
+  /// replaced in parts.
+  uint32_t mRemovals = 0;
+  /// Claims removed up to this counter are forgotten here. A copy that does not know the removals
+  /// up to it must be replaced as a whole.
   uint32_t mFloor = 0;
   lw::membership::InstanceState mState = lw::membership::ALIVE;
   Base::InstanceId mSuccessor;
