Compare the runs of members before their version tags

Digests carry 2 bytes for each 16 ids over the runs of the members. Purging moved into its own file.

--- a/src/libs/membership/digest.cpp
+++ b/src/libs/membership/digest.cpp
@@ -1,5 +1,6 @@
 #include "membership/digest.h"
 
+#include "base/hash.h"
 #include "membership/records.h"
 
 #include <algorithm>
@@ -13,6 +14,9 @@
 constexpr Base::Duration kAgeUnit = std::chrono::milliseconds(25);
 /// Older beats are left out; they extend no lease.
 constexpr int64_t kMaxAge = 255;
+/// Members whose runs are compared together. A member that only one side knows keeps the beats of
+/// its block from being used until both know it, so blocks are small.
+constexpr uint32_t kBlockIds = 16;
 constexpr uint32_t kVarintBits = 7;
 constexpr uint8_t kVarintMore = 0x80;
 
@@ -22,6 +26,7 @@
   uint8_t mAge = 0;
   uint8_t mTag = 0;
   uint64_t mVersion = 0;
+  bool mSameRun = false;
 };
 
 void
@@ -64,6 +69,26 @@
   }
 };
 
+uint32_t
+BlockOf(Base::InstanceId aId)
+{
+  return aId.mValue / kBlockIds;
+}
+
+/// Hash of the runs of members of one block, filled in the order of ids.
+struct RunHash
+{
+  uint64_t mValue = 0;
+
+  void Add(const Record& aRecord)
+  {
+    mValue =
+      Base::StableHash({ mValue, aRecord.mId.mValue, aRecord.mIncarnation.mValue, aRecord.mEpoch });
+  }
+  uint8_t Low() const { return static_cast<uint8_t>(mValue); }
+  uint8_t High() const { return static_cast<uint8_t>(mValue >> 8U); }
+};
+
 Entry
 MakeEntry(const Record& aRecord, int64_t aAge)
 {
@@ -182,6 +207,53 @@
   EncodeVersions(aEntries, aMessage);
 }
 
+void
+EncodeRuns(const State& aState,
+           const std::vector<Entry>& aEntries,
+           lw::membership::Message& aMessage)
+{
+  std::string hashes;
+  for (size_t first = 0; first < aEntries.size();) {
+    RunHash hash;
+    const uint32_t block = BlockOf(aEntries[first].mId);
+    for (; first < aEntries.size() && BlockOf(aEntries[first].mId) == block; ++first) {
+      hash.Add(*FindRecord(aState, aEntries[first].mId));
+    }
+    hashes.push_back(static_cast<char>(hash.Low()));
+    hashes.push_back(static_cast<char>(hash.High()));
+  }
+  aMessage.set_run_hashes(std::move(hashes));
+}
+
+/// Marks the entries of blocks in which both sides know the same runs.
+/// \return false if the bytes are malformed.
+bool
+CompareRuns(const State& aState,
+            const lw::membership::Message& aMessage,
+            std::vector<Entry>& aEntries)
+{
+  ByteReader reader{ aMessage.run_hashes() };
+  for (size_t first = 0; first < aEntries.size();) {
+    RunHash hash;
+    bool known = true;
+    size_t end = first;
+    const uint32_t block = BlockOf(aEntries[first].mId);
+    for (; end < aEntries.size() && BlockOf(aEntries[end].mId) == block; ++end) {
+      const Record* record = FindRecord(aState, aEntries[end].mId);
+      known = known && record != nullptr;
+      if (known) {
+        hash.Add(*record);
+      }
+    }
+    const bool low = reader.Byte() == hash.Low();
+    const bool high = reader.Byte() == hash.High();
+    for (; first < end; ++first) {
+      aEntries[first].mSameRun = known && low && high;
+    }
+  }
+  return !reader.mFailed && reader.AtEnd();
+}
+
 std::optional<std::vector<Entry>>
 Decode(const lw::membership::Message& aMessage)
 {
@@ -230,7 +302,7 @@
     return;
   }
   Record* record = FindRecord(aState, aEntry.mId);
-  const bool matches = record != nullptr && VersionTag(*record) == aEntry.mTag;
+  const bool matches = record != nullptr && aEntry.mSameRun && VersionTag(*record) == aEntry.mTag;
   const bool copied =
     record != nullptr && record->mCopied > 0 && record->mCopied >= record->mNewest;
   aResult.mAllCopied = aResult.mAllCopied && copied;
@@ -270,13 +342,16 @@
     KeepPart(aState, aStart, entries);
   }
   Encode(entries, aMessage);
+  EncodeRuns(aState, entries, aMessage);
   aMessage.set_digest_complete(complete);
 }
 
 void
 AddOwnDigest(const State& aState, lw::membership::Message& aMessage)
 {
-  Encode({ MakeEntry(*FindRecord(aState, aState.mSelf), 0) }, aMessage);
+  const std::vector<Entry> own{ MakeEntry(*FindRecord(aState, aState.mSelf), 0) };
+  Encode(own, aMessage);
+  EncodeRuns(aState, own, aMessage);
 }
 
 DigestResult
@@ -286,8 +361,8 @@
             Base::TimePoint aArrival)
 {
   DigestResult result;
-  const std::optional<std::vector<Entry>> entries = Decode(aMessage);
-  if (!entries) {
+  std::optional<std::vector<Entry>> entries = Decode(aMessage);
+  if (!entries || !CompareRuns(aState, aMessage, *entries)) {
     result.mValid = false;
     return result;
   }
--- a/src/libs/membership/leases.cpp
+++ b/src/libs/membership/leases.cpp
@@ -5,6 +5,7 @@
 #include "membership/claimorder.h"
 #include "membership/compose.h"
 #include "membership/records.h"
+#include "membership/retirement.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -7,6 +7,7 @@
 #include "membership/leases.h"
 #include "membership/probing.h"
 #include "membership/records.h"
+#include "membership/retirement.h"
 
 #include <algorithm>
 
--- a/src/libs/membership/records.cpp
+++ b/src/libs/membership/records.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "membership/claimcodec.h"
 #include "membership/claimorder.h"
+#include "membership/retirement.h"
 
 #include <algorithm>
 
@@ -12,8 +13,6 @@
 
 using lw::membership::RecordDelta;
 
-/// Claims of a dead holder are dropped after this time; their leases have long ended.
-constexpr Base::Duration kDeadClaimTime = std::chrono::seconds(30);
 /// Changes are passed on unasked for this time. Most members know them by then, and digests show
 /// the others what they miss. Without the limit the copies of a mass join filled the datagrams of
 /// 80 instances for more than 20 s.
@@ -184,21 +183,6 @@
   return true;
 }
 
-void
-PurgeClaims(State& aState, Record& aRecord, Base::TimePoint aNow)
-{
-  std::vector<Claim>& claims = aRecord.mClaims;
-  const auto old = std::stable_partition(claims.begin(), claims.end(), [aNow](const Claim& aClaim) {
-    const bool ended = aClaim.mState == ClaimState::Left || aClaim.mState == ClaimState::Released;
-    return !ended || aNow - aClaim.mRenewedAt < kClaimTombstoneTime;
-  });
-  for (auto claim = old; claim != claims.end(); ++claim) {
-    aRecord.mFloor = std::max(aRecord.mFloor, claim->mCounter);
-    RetireAddress(aState, *claim, aNow);
-  }
-  claims.erase(old, claims.end());
-}
-
 } // namespace
 
 uint8_t
@@ -363,57 +347,4 @@
   return aDelta.to() < aDelta.newest() ? DeltaOutcome::Gap : DeltaOutcome::Applied;
 }
 
-void
-RetireAddress(State& aState, const Claim& aClaim, Base::TimePoint aNow)
-{
-  RetiredAddress& retired = aState.mRetired[aClaim.mEndpoint];
-  if (std::tie(aClaim.mStartId, aClaim.mSequence) >=
-      std::tie(retired.mStartId, retired.mSequence)) {
-    retired = { aClaim.mStartId, aClaim.mSequence, aNow };
-  }
-}
-
-void
-PurgeRecords(State& aState, Base::TimePoint aNow)
-{
-  std::vector<std::pair<Base::TimePoint, Base::InstanceId>> dead;
-  for (auto& [id, record] : aState.mRecords) {
-    PurgeClaims(aState, record, aNow);
-    if (!IsInRing(record) && id != aState.mSelf) {
-      dead.emplace_back(record.mBeat, id);
-      if (aNow - record.mBeat > kDeadClaimTime && !record.mClaims.empty()) {
-        record.mClaims.clear();
-        record.mCopied = record.mRemovals = 0;
-      }
-    }
-  }
-  if (dead.size() > kMaxDeadRecords) {
-    std::sort(dead.begin(), dead.end());
-    dead.resize(dead.size() - kMaxDeadRecords);
-    for (const auto& [since, id] : dead) {
-      aState.mRecords.erase(id);
-    }
-  }
-  std::vector<Claim>& orphans = aState.mOrphans;
-  const auto ended =
-    std::stable_partition(orphans.begin(), orphans.end(), [aNow](const Claim& aClaim) {
-      return aClaim.mLeaseEnd > aNow;
-    });
-  std::for_each(
-    ended, orphans.end(), [&](const Claim& aClaim) { RetireAddress(aState, aClaim, aNow); });
-  orphans.erase(ended, orphans.end());
-
-  for (auto retired = aState.mRetired.begin(); retired != aState.mRetired.end();) {
-    const bool old = aNow - retired->second.mAt > kRetiredTime;
-    retired = old ? aState.mRetired.erase(retired) : std::next(retired);
-  }
-  while (aState.mRetired.size() > kMaxRetired) {
-    const auto oldest = std::min_element(
-      aState.mRetired.begin(), aState.mRetired.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.mAt < aRight.second.mAt;
-      });
-    aState.mRetired.erase(oldest);
-  }
-}
-
 } // namespace Membership
--- a/src/libs/membership/records.h
+++ b/src/libs/membership/records.h
@@ -67,12 +67,4 @@
 DeltaOutcome
 ApplyDelta(State& aState, const lw::membership::RecordDelta& aDelta, Base::TimePoint aNow);
 
-/// Drops old tombstones, records that have long been dead, and orphans whose lease has ended.
-void
-PurgeRecords(State& aState, Base::TimePoint aNow);
-
-/// Remembers the newest announcement of an address whose claim has ended.
-void
-RetireAddress(State& aState, const Claim& aClaim, Base::TimePoint aNow);
-
 } // namespace Membership
