Merge membership: probing, gossip and leases in lw-entry

Cause of the merge: heartbeats went from each instance to each other with all upstream records, so control traffic grew with members times upstreams.

--- a/src/tools/entry/membershipagent.h
+++ b/src/tools/entry/membershipagent.h
@@ -1,24 +1,24 @@
 #pragma once
 
-#include "absl/status/statusor.h"
+#include "base/random.h"
 #include "base/runtimeclock.h"
 #include "base/snapshot.h"
 #include "config/serviceindex.h"
 #include "entrysettings.h"
+#include "membership/leases.h"
+#include "membership/state.h"
 #include "membership/view.h"
+#include "metrics/registry.h"
 #include "peertransport.h"
 
-#include "announce.pb.h"
-#include "membership.pb.h"
-
 #include <boost/asio/basic_waitable_timer.hpp>
 
-#include <map>
 #include <mutex>
+#include <vector>
 
 namespace Entry {
 
-/// Keeps the view of the region by heartbeats to all seeds and known members.
+/// Runs the membership protocol over the peer transport and publishes the view of the region.
 class MembershipAgent
 {
 public:
@@ -26,51 +26,55 @@
                   const EntrySettings& aSettings,
                   Base::Incarnation aIncarnation,
                   PeerTransport& aTransport,
-                  const Base::Snapshot<Config::ServiceIndex>& aServices);
+                  const Base::Snapshot<Config::ServiceIndex>& aServices,
+                  Metrics::Registry& aMetrics);
 
   void Start();
 
-  /// Tells the peers that this instance leaves.
+  /// Tells the peers that this instance leaves, and names a successor.
   void Leave();
 
-  /// Takes an announcement of an upstream.
-  /// \return the reply, or the error that the announcer gets.
-  absl::StatusOr<lw::announce::AnnounceReply> Announce(
-    const lw::announce::AnnounceRequest& aRequest);
+  /// Tells the peers that this instance has left. Call it last.
+  void FinishLeave();
+
+  /// Takes an announcement of an upstream; may be called from any thread.
+  Membership::AnnounceResult Announce(const Membership::Announcement& aAnnouncement);
 
   const Base::Snapshot<Membership::View>& View() const { return mView; }
 
 private:
-  struct KnownMember
+  struct CountedEvent
   {
-    Membership::Member mMember;
-    Base::TimePoint mLastHeard;
-  };
-  struct KnownUpstream
-  {
-    lw::announce::AnnounceRequest mAnnouncement;
-    Membership::Upstream mUpstream;
-    Base::TimePoint mRenewed;
-    Base::TimePoint mFirstKnown;
+    uint64_t Membership::Counts::*mSource;
+    Metrics::Counter& mCounter;
   };
   using Timer = boost::asio::basic_waitable_timer<Base::RuntimeClock>;
 
   void Tick();
   void HandlePeer(const PeerSender& aSender, absl::string_view aPayload);
-  void SendHeartbeats();
-  void Expire();
-  void Publish();
-  absl::Status Record(const lw::membership::UpstreamRecord& aRecord);
+  void Send(const Membership::Outbox& aOutbox);
+  void FollowConfiguration(Base::TimePoint aNow);
+  void PublishIfDue(Base::TimePoint aNow);
+  void UpdateCounters();
 
-  const EntrySettings& mSettings;
   PeerTransport& mTransport;
   const Base::Snapshot<Config::ServiceIndex>& mServices;
-  Base::Incarnation mIncarnation;
+  Membership::Settings mSettings;
   Timer mTimer;
+  std::vector<CountedEvent> mEvents;
+  Metrics::Counter& mSentMessages;
+  Metrics::Counter& mSentBytes;
+  Metrics::Counter& mMalformed;
+  Metrics::Gauge& mMembers;
+  Metrics::Gauge& mUpstreams;
+
   std::mutex mMutex;
-  bool mLeaving = false;
-  std::map<Base::InstanceId, KnownMember> mMembers;
-  std::map<Base::Endpoint, KnownUpstream> mUpstreams;
+  Base::RandomSource mRandom;
+  Membership::State mState;
+  Membership::Counts mCounted;
+  Base::ConfigVersion mFollowedVersion;
+  uint64_t mPublishedRevision = 0;
+  Base::TimePoint mPublishedAt;
   Base::Snapshot<Membership::View> mView;
 };
 
--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -19,13 +19,13 @@
   : mSettings(aSettings)
   , mTransport(mContext, { aSettings.mInstance, aIncarnation, aSettings.mPeerListen }, mMetrics)
   , mServices(std::make_shared<Config::ServiceIndex>())
-  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices)
+  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices, mMetrics)
   , mConfig(mSettings, aIncarnation.mValue, mTransport, mMembership.View(), mServices, mMetrics)
   , mDatapath(mSettings, mServices, mMembership.View(), mMetrics)
   , mPorts(MakePorts())
   , mOpaque(mPorts, mMembership.View(), mServices, mMetrics)
   , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mServices, mMetrics)
-  , mAnnounce(mMembership)
+  , mAnnounce(mMembership, mServices, mMetrics)
   , mMetricsServer(mContext, mSettings.mMetricsListen, mMetrics)
   , mTimer(mContext)
 {
@@ -112,6 +112,7 @@
     (!(mRequests.IsDrained() && mOpaque.IsHandedOver()) && Base::RuntimeClock::now() < limit)) {
     std::this_thread::sleep_for(kDrainPoll);
   }
+  mMembership.FinishLeave();
   mDatapath.Stop();
   mConfig.Stop();
   LOG(INFO) << "[entry] Instance " << mSettings.mInstance << " stopped.";
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,4 +1,5 @@
 #include "measure/floodmeasure.h"
+#include "measure/membershipmeasure.h"
 #include "measure/requestsmeasure.h"
 #include "measure/subcommands.h"
 #include "program/startup.h"
@@ -54,6 +55,7 @@
 // Sorted by name, one line each.
 constexpr Subcommand kSubcommands[] = {
   { "flood", RunFlood, "goodput and latency of other work during floods" },
+  { "membership", Measure::RunMembershipMeasure, "control traffic, time, memory, spread" },
   { "placement", RunPlacement, "broken flows, time, memory, imbalance" },
   { "requests", RunRequestsMeasure, "memory, time, outcomes of a randomized run" },
 };
