--- a/src/tools/control/configstore.cpp
+++ b/src/tools/control/configstore.cpp
@@ -1,5 +1,6 @@
 #include "configstore.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -7,12 +8,18 @@
 
 namespace {
 
-/// An unchanged report is passed on this often, so that all control instances see it as recent.
-constexpr std::chrono::seconds kShareInterval{ 5 };
+/// An unchanged report is passed on this often, so that all control instances see it as recent:
+/// lwctl does not wait for an instance whose report is older than 10 s.
+constexpr Base::Duration kMaxShareInterval = std::chrono::seconds(5);
+/// A report must be passed on several times within the report window, or the leader releases
+/// addresses as if the instance were gone.
+constexpr int kSharesPerWindow = 4;
 
 } // namespace
 
-ConfigStore::ConfigStore()
+ConfigStore::ConfigStore(Base::Duration aReportWindow)
+  : mReportWindow(aReportWindow)
+  , mShareInterval(std::min(kMaxShareInterval, aReportWindow / kSharesPerWindow))
 {
   mReports.mSince = Base::RuntimeClock::now();
 }
@@ -80,7 +87,7 @@
     const auto shared = mShared.find(report.instance());
     const bool fresh = shared != mShared.end() &&
                        shared->second.mVersion == report.version_in_force() &&
-                       now - shared->second.mSent < kShareInterval;
+                       now - shared->second.mSent < mShareInterval;
     if (!fresh) {
       mToShare.insert(report.instance());
     }
@@ -113,10 +120,11 @@
 }
 
 lw::config::ReleasedAddresses
-ConfigStore::Releasable(Base::Duration aWindow) const
+ConfigStore::Releasable() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return Config::ReleasableAddresses(mState.mState, mReports, Base::RuntimeClock::now(), aWindow);
+  return Config::ReleasableAddresses(
+    mState.mState, mReports, Base::RuntimeClock::now(), mReportWindow);
 }
 
 void
--- a/src/tools/control/configstore.h
+++ b/src/tools/control/configstore.h
@@ -24,7 +24,8 @@
 class ConfigStore
 {
 public:
-  ConfigStore();
+  /// \param aReportWindow is how long a report holds up the release of addresses.
+  explicit ConfigStore(Base::Duration aReportWindow);
 
   /// Applies a committed command.
   absl::StatusOr<Base::ConfigVersion> ApplyCommand(const std::string& aCommand);
@@ -43,7 +44,7 @@
   /// \return reports of pulls that the other control instances do not have yet.
   lw::consensus::Reports TakeReportsToShare();
   /// \return retired addresses that may be used again.
-  lw::config::ReleasedAddresses Releasable(Base::Duration aWindow) const;
+  lw::config::ReleasedAddresses Releasable() const;
 
   void FillStatus(lw::operator_api::StatusReply& aReply) const;
 
@@ -54,6 +55,8 @@
     Base::TimePoint mSent;
   };
 
+  const Base::Duration mReportWindow;
+  const Base::Duration mShareInterval;
   mutable std::mutex mMutex;
   Config::LogState mState;
   Config::ReportTable mReports;
--- a/src/tools/control/logdriver.cpp
+++ b/src/tools/control/logdriver.cpp
@@ -344,7 +344,7 @@
   if (mReplica.mNode.mRole != Consensus::Role::Leader) {
     return;
   }
-  const lw::config::ReleasedAddresses released = mStore.Releasable(mSettings.mReportWindow);
+  const lw::config::ReleasedAddresses released = mStore.Releasable();
   if (released.addresses().empty()) {
     return;
   }
@@ -446,6 +446,10 @@
     const auto progress = node.mProgress.find(Consensus::StorageId(replica.storage()));
     member->set_synced_index(progress != node.mProgress.end() ? progress->second.mSynced : 0);
   }
+  if (status.leads() != mStatus.leads()) {
+    LOG(INFO) << "[control] " << (status.leads() ? "Leads" : "Stopped leading") << ", term "
+              << status.term() << ".";
+  }
   const std::lock_guard<std::mutex> lock(mMutex);
   mStatus = std::move(status);
   mLeader = node.mLeader;
--- a/src/tools/control/main.cpp
+++ b/src/tools/control/main.cpp
@@ -41,7 +41,7 @@
 RunControl(const Control::ControlSettings& aSettings)
 {
   Program::BlockStopSignals();
-  Control::ConfigStore store;
+  Control::ConfigStore store(aSettings.mReportWindow);
   Control::LogDriver log(aSettings, store);
   Control::FeedServer feed(store, log, aSettings.mFeedListen);
   Control::OperatorService service(store, log);
--- a/tests/auto/config/tst_statemachine.cpp
+++ b/tests/auto/config/tst_statemachine.cpp
@@ -88,3 +88,43 @@
   CHECK_TRUE(Config::ApplyRevision(mState, revision).ok());
   CHECK_TRUE(absl::IsOutOfRange(Config::ApplyRevision(mState, revision)));
 }
+
+// Guards against a resend that is applied again because other operators made many changes, and
+// against outcomes that are kept without a limit.
+TEST(StateMachine, KeepsOutcomesForEachOperatorWithinLimits)
+{
+  constexpr uint64_t kHourMs = 3600 * 1000;
+  lw::config::Change other = Put(0, 1, "b", "192.0.2.2:1");
+  other.set_operator_id("other");
+  CHECK_TRUE(Config::ApplyChange(mState, other, kHourMs).ok());
+  for (uint64_t number = 1; number <= 4100; ++number) {
+    CHECK_TRUE(Config::ApplyChange(mState, Put(number, number, "a", "192.0.2.1:1"), kHourMs).ok());
+  }
+  LONGS_EQUAL(4097, mState.outcomes_size());
+  CHECK_TRUE(*Config::ApplyChange(mState, other, kHourMs) == Base::ConfigVersion(1));
+  CHECK_TRUE(*Config::ApplyChange(mState, Put(5, 5, "a", "192.0.2.1:1"), kHourMs) ==
+             Base::ConfigVersion(6));
+  CHECK_TRUE(
+    absl::IsAborted(Config::ApplyChange(mState, Put(1, 1, "a", "192.0.2.1:1"), kHourMs).status()));
+  CHECK_TRUE(Config::ApplyChange(mState, Put(4101, 4101, "a", "192.0.2.1:1"), 26 * kHourMs).ok());
+  LONGS_EQUAL(1, mState.outcomes_size());
+}
+
+// Guards against an operator who releases addresses, and against a release that hits a later
+// removal of the same address.
+TEST(StateMachine, ReleasesExactlyTheNamedRemoval)
+{
+  CHECK_TRUE(Config::ApplyChange(mState, Put(0, 1, "a", "192.0.2.1:1")).ok());
+  CHECK_TRUE(Config::ApplyChange(mState, Delete(1, 2, "a")).ok());
+  lw::config::Change release;
+  release.set_operator_id("op");
+  lw::config::RetiredAddress* address = release.mutable_release_addresses()->add_addresses();
+  address->set_address("192.0.2.1:1");
+  address->set_removed_in_version(1);
+  CHECK_TRUE(absl::IsInvalidArgument(Config::ApplyChange(mState, release).status()));
+  release.set_operator_id("lw-control");
+  CHECK_TRUE(absl::IsFailedPrecondition(Config::ApplyChange(mState, release).status()));
+  address->set_removed_in_version(2);
+  CHECK_TRUE(*Config::ApplyChange(mState, release) == Base::ConfigVersion(3));
+  CHECK_TRUE(Config::ApplyChange(mState, Put(3, 3, "b", "192.0.2.1:1")).ok());
+}
--- a/tests/auto/consensus/tst_following.cpp
+++ b/tests/auto/consensus/tst_following.cpp
@@ -153,6 +153,14 @@
   CHECK_TRUE(Deliver(VoteRequest(kLeader, 5)).vote_reply().granted());
 }
 
+// Guards against a follower that takes entries from a leader of an earlier term after a crash.
+TEST(Following, TermSurvivesACrash)
+{
+  Deliver(Append(5, 0, 0, {}));
+  CrashAndOpen();
+  CHECK_FALSE(Deliver(Append(4, 0, 0, {})).append_reply().matched());
+}
+
 // Guards against a quorum that is counted with a membership which was never committed.
 TEST(Following, ReplacedMembershipIsNoLongerInForce)
 {
--- a/tests/auto/consensus/tst_replacement.cpp
+++ b/tests/auto/consensus/tst_replacement.cpp
@@ -61,12 +61,14 @@
 }
 ;
 
-// Guards against a repair after which the loss of a second instance loses changes or the quorum.
+// Guards against a repair after which the loss of a second instance loses changes or the quorum,
+// and against snapshot pieces that are put together wrongly when they come twice or late.
 TEST(Replacement, SecondInstanceIsLostRightAfterARepair)
 {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
     for (uint32_t first = 1; first <= 3; ++first) {
       FakeCluster cluster(seed * 7, 3);
+      cluster.mDuplicatePermille = 200;
       MustForm(cluster, 3);
       MustAcknowledge(cluster, 120);
       Lose(cluster, first);
--- a/tests/auto/storage/tst_directory.cpp
+++ b/tests/auto/storage/tst_directory.cpp
@@ -96,14 +96,17 @@
   LONGS_EQUAL(2, again.mDirectory.mSegments.size());
 }
 
-// Guards against old entries that contradict a received snapshot being used after a restart, at
-// each point at which the installation can be cut short.
+// Guards against old entries that contradict a received snapshot being used after a restart, and
+// against a directory that cannot be opened, at each point at which the installation can be cut
+// short. The second segment begins after the snapshot.
 TEST(Directory, InstallationCutShortLeavesNoContradictingLog)
 {
   for (uint64_t operations = 0; operations < 24; ++operations) {
     mDisk.Wipe();
     Storage::Opened opened = MustOpen();
-    MustAppend(opened.mDirectory, 1, 1, 5);
+    MustAppend(opened.mDirectory, 1, 1, 14);
+    CHECK_TRUE(Storage::SaveSnapshot(opened.mDirectory, MakeSnapshot(1, 5), 0).ok());
+    MustAppend(opened.mDirectory, 1, 15, 20);
     mDisk.mOperationsLeft = operations;
     const absl::Status installed =
       Storage::InstallSnapshot(opened.mDirectory, MakeSnapshot(3, 12), false);
@@ -111,12 +114,26 @@
     Storage::Opened again = MustOpen();
     const uint64_t index = again.mRestored.mSnapshot.index();
     CHECK_TRUE(index == 12 || !installed.ok());
-    LONGS_EQUAL(index == 12 ? 0 : 5, again.mRestored.mEntries.size());
-    MustAppend(again.mDirectory, 3, index == 12 ? 13 : 6, 15);
-    LONGS_EQUAL(15, MustOpen().mRestored.mEntries.back().index());
+    LONGS_EQUAL(index == 12 ? 0 : 20, again.mRestored.mEntries.size());
+    MustAppend(again.mDirectory, 3, index == 12 ? 13 : 21, 25);
+    LONGS_EQUAL(25, MustOpen().mRestored.mEntries.back().index());
   }
 }
 
+// Guards against an entry that was read from the page cache after a killed process, is counted as
+// synced, and is lost in a later power failure.
+TEST(Directory, OpenSyncsWhatItReads)
+{
+  Storage::Opened opened = MustOpen();
+  MustAppend(opened.mDirectory, 1, 1, 3);
+  mDisk.mOperationsLeft = 1;
+  CHECK_FALSE(Storage::AppendEntries(opened.mDirectory, { MakeEntry(1, 4) }).ok());
+  mDisk.mOperationsLeft = 1000;
+  LONGS_EQUAL(4, MustOpen().mRestored.mEntries.size());
+  mDisk.Crash();
+  LONGS_EQUAL(4, MustOpen().mRestored.mEntries.size());
+}
+
 // Guards against a full disk or a failed sync that turns into an acknowledgement, at once or later
 // when there is space again.
 TEST(Directory, FailsForGoodAfterTheFirstFailedWriteOrSync)
