--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -300,18 +300,19 @@
 HandOverLeadership(Node& aNode, const Context& aContext)
 {
   Output output;
-  const StorageId* best = nullptr;
-  const Progress* bestProgress = nullptr;
-  for (const auto& [storage, progress] : aNode.mProgress) {
-    const bool alive = aContext.mNow - progress.mLastReply < aContext.mSettings.mElectionTimeout;
-    const bool better = bestProgress == nullptr || progress.mSynced > bestProgress->mSynced;
-    if (IsVoter(CurrentMembership(aNode), storage) && alive && better) {
-      best = &storage;
-      bestProgress = &progress;
+  auto best = aNode.mProgress.end();
+  for (auto other = aNode.mProgress.begin(); other != aNode.mProgress.end(); ++other) {
+    const auto silence = aContext.mNow - other->second.mLastReply;
+    const bool eligible = IsVoter(CurrentMembership(aNode), other->first) &&
+                          silence < aContext.mSettings.mElectionTimeout;
+    const bool better =
+      best == aNode.mProgress.end() || other->second.mSynced > best->second.mSynced;
+    if (eligible && better) {
+      best = other;
     }
   }
-  if (aNode.mRole == Role::Leader && best != nullptr) {
-    Message message = MakeMessage(aNode, aContext, bestProgress->mInstance, *best);
+  if (aNode.mRole == Role::Leader && best != aNode.mProgress.end()) {
+    Message message = MakeMessage(aNode, aContext, best->second.mInstance, best->first);
     message.mutable_hand_over();
     output.mMessages.push_back(std::move(message));
   }
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -30,10 +30,10 @@
   /// Entries kept before a snapshot, so that an instance that was away briefly needs no snapshot.
   uint64_t mRetainedEntries = 1000;
   size_t mMaxAppendEntries = 64;
-  size_t mMaxAppendBytes = 256 * 1024;
+  size_t mMaxAppendBytes = size_t{ 256 } * 1024;
   /// Entries sent to a follower beyond the last one that it has confirmed.
   uint64_t mMaxUnconfirmedEntries = 512;
-  size_t mSnapshotPieceBytes = 64 * 1024;
+  size_t mSnapshotPieceBytes = size_t{ 64 } * 1024;
 };
 
 /// What each step takes from outside.
--- a/src/tools/control/feedserver.cpp
+++ b/src/tools/control/feedserver.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kMaxWaiting = 256;
 /// Identity, empty delimiter, request.
 constexpr size_t kFrames = 3;
-constexpr int64_t kMaxMessageBytes = 1024 * 1024;
+constexpr int64_t kMaxMessageBytes = int64_t{ 1024 } * 1024;
 
 } // namespace
 
--- a/src/tools/control/logdriver.cpp
+++ b/src/tools/control/logdriver.cpp
@@ -2,17 +2,14 @@
 
 #include "absl/strings/str_cat.h"
 #include "config/validation.h"
+#include "logstatus.h"
 #include "posixfiles.h"
 
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
-#include <cstring>
 #include <random>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include <utility>
 
 namespace Control {
@@ -27,8 +24,6 @@
 constexpr milliseconds kHandOverLimit{ 2000 };
 /// Messages handled before timers and requests get their turn.
 constexpr int kMaxMessagesPerTurn = 256;
-/// Operators' calls in progress. 5,400 changes a day are far below it; it bounds the memory.
-constexpr size_t kMaxRequests = 1024;
 
 absl::Status
 NotLeading()
@@ -36,13 +31,6 @@
   return absl::UnavailableError("this control instance does not lead");
 }
 
-absl::Status
-LeadershipLost()
-{
-  return absl::UnavailableError(
-    "this control instance stopped leading; resend the change with the same request number");
-}
-
 uint64_t
 WallClockMs()
 {
@@ -68,18 +56,11 @@
 LogDriver::~LogDriver()
 {
   Stop();
-  if (mWakeDescriptor >= 0) {
-    close(mWakeDescriptor);
-  }
 }
 
 absl::Status
 LogDriver::Start()
 {
-  mWakeDescriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (mWakeDescriptor < 0) {
-    return absl::UnavailableError(absl::StrCat("eventfd: ", std::strerror(errno)));
-  }
   std::vector<std::string> notices;
   absl::StatusOr<Replication::Replica> replica =
     Replication::OpenReplica(mSettings.mConsensus,
@@ -111,6 +92,7 @@
 LogDriver::Stop()
 {
   mStopping = true;
+  mQueue.Close();
   if (mThread.joinable()) {
     mThread.join();
   }
@@ -119,39 +101,13 @@
 ChangeOutcome
 LogDriver::Apply(const lw::config::Change& aChange, Base::Duration aLimit)
 {
-  return Submit(Config::MakeCommand(aChange, WallClockMs()), aLimit);
+  return mQueue.Submit(Config::MakeCommand(aChange, WallClockMs()), aLimit);
 }
 
 absl::Status
 LogDriver::ConfirmRead(Base::Duration aLimit)
 {
-  return Submit("", aLimit).mStatus;
-}
-
-ChangeOutcome
-LogDriver::Submit(std::string aCommand, Base::Duration aLimit)
-{
-  auto request = std::make_shared<Request>();
-  request->mCommand = std::move(aCommand);
-  std::future<ChangeOutcome> outcome = request->mPromise.get_future();
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    if (mStopping || mRequests.size() >= kMaxRequests) {
-      return { absl::UnavailableError("this control instance is stopping or overloaded"), {}, 0 };
-    }
-    mRequests.push_back(request);
-  }
-  const uint64_t one = 1;
-  if (write(mWakeDescriptor, &one, sizeof(one)) < 0) {
-    LOG(WARNING) << "[control] Wake-up failed: " << std::strerror(errno) << ".";
-  }
-  if (outcome.wait_for(aLimit) != std::future_status::ready) {
-    return { absl::DeadlineExceededError(
-               "no outcome yet; resend the change with the same request number"),
-             {},
-             0 };
-  }
-  return outcome.get();
+  return mQueue.Submit("", aLimit).mStatus;
 }
 
 bool
@@ -208,9 +164,12 @@
     if (Base::RuntimeClock::now() >= mNextTick) {
       Tick();
     }
-    FailWaitingUnlessLeader();
+    if (mReplica.mNode.mRole != Consensus::Role::Leader) {
+      mPending.FailAll();
+    }
     PublishStatus();
   }
+  RefuseRemaining();
 }
 
 void
@@ -218,15 +177,10 @@
 {
   zmq::pollitem_t items[] = {
     { mPeers->Incoming().handle(), 0, ZMQ_POLLIN, 0 },
-    { nullptr, mWakeDescriptor, ZMQ_POLLIN, 0 },
+    { nullptr, mQueue.Descriptor(), ZMQ_POLLIN, 0 },
   };
   const auto left = std::chrono::duration_cast<milliseconds>(mNextTick - Base::RuntimeClock::now());
   zmq::poll(items, 2, std::max(left, milliseconds(0)));
-  uint64_t wakeUps = 0;
-  if ((items[1].revents & ZMQ_POLLIN) != 0 &&
-      read(mWakeDescriptor, &wakeUps, sizeof(wakeUps)) < 0) {
-    LOG(WARNING) << "[control] Wake-up lost: " << std::strerror(errno) << ".";
-  }
 }
 
 void
@@ -252,14 +206,9 @@
 void
 LogDriver::TakeRequests()
 {
-  std::deque<RequestPtr> requests;
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    requests.swap(mRequests);
-  }
   std::vector<RequestPtr> changes;
   std::vector<RequestPtr> reads;
-  for (RequestPtr& request : requests) {
+  for (RequestPtr& request : mQueue.Take()) {
     (request->mCommand.empty() ? reads : changes).push_back(std::move(request));
   }
   if (!changes.empty()) {
@@ -285,7 +234,7 @@
   Consensus::LogIndex index = first.value_or(0);
   for (const RequestPtr& request : aRequests) {
     if (first.ok()) {
-      mWaiting[index++] = { mReplica.mNode.mHardState.mTerm, request };
+      mPending.Add(index++, mReplica.mNode.mHardState.mTerm, request);
     } else {
       request->mPromise.set_value({ NotLeading(), {}, 0 });
     }
@@ -382,19 +331,9 @@
   if (aEntry.kind() == lw::consensus::COMMAND) {
     version = mStore.ApplyCommand(aEntry.command());
   }
-  const auto waiting = mWaiting.find(aEntry.index());
-  if (waiting == mWaiting.end()) {
-    return;
-  }
-  const RequestPtr request = waiting->second.mRequest;
-  const bool own = waiting->second.mTerm == aEntry.term();
-  mWaiting.erase(waiting);
-  if (!own) {
-    request->mPromise.set_value({ LeadershipLost(), {}, 0 });
-    return;
-  }
-  request->mPromise.set_value(
-    { version.status(), version.value_or(Base::ConfigVersion()), mStore.Version() });
+  mPending.Finish(aEntry.index(),
+                  aEntry.term(),
+                  { version.status(), version.value_or(Base::ConfigVersion()), mStore.Version() });
 }
 
 void
@@ -411,48 +350,29 @@
 }
 
 void
-LogDriver::FailWaitingUnlessLeader()
+LogDriver::RefuseRemaining()
 {
-  if (mReplica.mNode.mRole == Consensus::Role::Leader && !mDone) {
-    return;
+  mPending.FailAll();
+  while (!mReads.empty()) {
+    FinishRead(mReads.begin()->first, false);
   }
-  for (auto& [index, waiting] : mWaiting) {
-    waiting.mRequest->mPromise.set_value({ LeadershipLost(), {}, 0 });
+  for (const RequestPtr& request : mQueue.Take()) {
+    request->mPromise.set_value({ NotLeading(), {}, 0 });
   }
-  mWaiting.clear();
 }
 
 void
 LogDriver::PublishStatus()
 {
-  const Consensus::Node& node = mReplica.mNode;
-  const Base::TimePoint now = Base::RuntimeClock::now();
-  lw::operator_api::ControlStatus status;
-  status.set_instance(mSettings.mInstance.mValue);
-  status.set_leads(node.mRole == Consensus::Role::Leader);
-  status.set_term(node.mHardState.mTerm);
-  status.set_committed_index(node.mCommit);
-  status.set_applied_index(node.mApplied);
-  status.set_last_index(Consensus::LastIndex(node.mLog));
-  status.set_snapshot_index(node.mSnapshot.index());
-  status.set_connected(!node.mFailed &&
-                       Consensus::IsConnected(node, Replication::ContextOf(mReplica, now)));
-  status.set_storage_failure(std::string(mFailure.message()));
-  for (const lw::consensus::Replica& replica : Consensus::CurrentMembership(node).replicas()) {
-    lw::operator_api::ControlMember* member = status.add_members();
-    member->set_instance(replica.instance());
-    member->set_storage(replica.storage());
-    member->set_voter(replica.voter());
-    const auto progress = node.mProgress.find(Consensus::StorageId(replica.storage()));
-    member->set_synced_index(progress != node.mProgress.end() ? progress->second.mSynced : 0);
-  }
+  const Consensus::Context context = Replication::ContextOf(mReplica, Base::RuntimeClock::now());
+  lw::operator_api::ControlStatus status = MakeStatus(mReplica.mNode, context, mFailure);
   if (status.leads() != mStatus.leads()) {
     LOG(INFO) << "[control] " << (status.leads() ? "Leads" : "Stopped leading") << ", term "
               << status.term() << ".";
   }
   const std::lock_guard<std::mutex> lock(mMutex);
   mStatus = std::move(status);
-  mLeader = node.mLeader;
+  mLeader = mReplica.mNode.mLeader;
 }
 
 } // namespace Control
--- a/src/tools/control/logdriver.h
+++ b/src/tools/control/logdriver.h
@@ -6,10 +6,9 @@
 #include "controlsettings.h"
 #include "peersockets.h"
 #include "replication/replica.h"
+#include "requestqueue.h"
 
 #include <atomic>
-#include <deque>
-#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,15 +16,6 @@
 
 namespace Control {
 
-/// Answer to an operator's change.
-struct ChangeOutcome
-{
-  absl::Status mStatus;
-  Base::ConfigVersion mVersion;
-  /// Version after the change was accepted or refused; 0 if it was not decided.
-  uint64_t mCurrentVersion = 0;
-};
-
 /// Runs the replicated log in one thread: messages of the other control instances, timers, and the
 /// requests of operators.
 class LogDriver
@@ -59,21 +49,6 @@
   void FillStatus(lw::operator_api::ControlStatus& aStatus) const;
 
 private:
-  /// An operator's call. Without a change it is a read.
-  struct Request
-  {
-    std::string mCommand;
-    std::promise<ChangeOutcome> mPromise;
-  };
-  using RequestPtr = std::shared_ptr<Request>;
-
-  struct Waiting
-  {
-    Consensus::Term mTerm = 0;
-    RequestPtr mRequest;
-  };
-
-  ChangeOutcome Submit(std::string aCommand, Base::Duration aLimit);
   Replication::ReplicaPorts MakePorts();
   void Run();
   void Wait();
@@ -87,20 +62,20 @@
   void HandOver();
   void Apply(const Consensus::Entry& aEntry);
   void FinishRead(uint64_t aReadId, bool aConfirmed);
-  void FailWaitingUnlessLeader();
+  void RefuseRemaining();
   void PublishStatus();
 
   const ControlSettings& mSettings;
   ConfigStore& mStore;
   zmq::context_t mContext;
   std::unique_ptr<PeerSockets> mPeers;
-  int mWakeDescriptor = -1;
+  RequestQueue mQueue;
   std::thread mThread;
   std::atomic<bool> mStopping{ false };
 
   // Used by the log thread only.
   Replication::Replica mReplica;
-  std::map<Consensus::LogIndex, Waiting> mWaiting;
+  PendingChanges mPending;
   std::map<uint64_t, std::vector<RequestPtr>> mReads;
   uint64_t mNextReadId = 0;
   Base::TimePoint mNextTick;
@@ -110,7 +85,6 @@
   absl::Status mFailure;
 
   mutable std::mutex mMutex;
-  std::deque<RequestPtr> mRequests;
   lw::operator_api::ControlStatus mStatus;
   Base::InstanceId mLeader;
 };
--- a/src/tools/control/peersockets.cpp
+++ b/src/tools/control/peersockets.cpp
@@ -17,7 +17,7 @@
 constexpr int kHeartbeatMs = 500;
 constexpr int kHeartbeatTimeoutMs = 2000;
 /// Larger than a snapshot piece or an append.
-constexpr int64_t kMaxMessageBytes = 16 * 1024 * 1024;
+constexpr int64_t kMaxMessageBytes = int64_t{ 16 } * 1024 * 1024;
 
 std::string
 Address(const Base::Endpoint& aEndpoint)
--- a/src/tools/control/posixfiles.cpp
+++ b/src/tools/control/posixfiles.cpp
@@ -15,7 +15,7 @@
 
 constexpr mode_t kDirectoryMode = 0700;
 constexpr mode_t kFileMode = 0600;
-constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kReadBytes = size_t{ 64 } * 1024;
 
 absl::Status
 SystemError(const char* aOperation, const std::string& aPath)
--- a/tests/auto/config/tst_statemachine.cpp
+++ b/tests/auto/config/tst_statemachine.cpp
@@ -93,7 +93,7 @@
 // against outcomes that are kept without a limit.
 TEST(StateMachine, KeepsOutcomesForEachOperatorWithinLimits)
 {
-  constexpr uint64_t kHourMs = 3600 * 1000;
+  constexpr uint64_t kHourMs = uint64_t{ 3600 } * 1000;
   lw::config::Change other = Put(0, 1, "b", "192.0.2.2:1");
   other.set_operator_id("other");
   CHECK_TRUE(Config::ApplyChange(mState, other, kHourMs).ok());
--- a/tests/auto/consensus/tst_following.cpp
+++ b/tests/auto/consensus/tst_following.cpp
@@ -27,7 +27,7 @@
   for (uint32_t instance = 1; instance <= aVoters; ++instance) {
     lw::consensus::Replica* replica = entry.mutable_membership()->add_replicas();
     replica->set_instance(instance);
-    replica->set_storage(instance * 100);
+    replica->set_storage(instance * uint64_t{ 100 });
     replica->set_voter(true);
   }
   return entry;
--- a/tests/auto/consensus/tst_membership.cpp
+++ b/tests/auto/consensus/tst_membership.cpp
@@ -11,7 +11,7 @@
   for (uint32_t instance = 1; instance <= aVoters; ++instance) {
     lw::consensus::Replica* replica = membership.add_replicas();
     replica->set_instance(instance);
-    replica->set_storage(instance * 100);
+    replica->set_storage(instance * uint64_t{ 100 });
     replica->set_voter(true);
   }
   return membership;
--- a/tests/auto/control/tst_cluster.cpp
+++ b/tests/auto/control/tst_cluster.cpp
@@ -159,7 +159,7 @@
   CHECK_TRUE(mCluster.WaitForLeader() != 0);
   uint64_t number = 0;
   for (uint32_t lost = 1; lost <= 2; ++lost) {
-    while (number < lost * 120) {
+    while (number < lost * uint64_t{ 120 }) {
       MustAccept(++number);
     }
     mCluster.Signal(lost, SIGKILL);
