--- a/src/tools/measure/consensusmeasure.cpp
+++ b/src/tools/measure/consensusmeasure.cpp
@@ -110,6 +110,26 @@
   return Milliseconds(Base::RuntimeClock::now() - aStart).count();
 }
 
+/// A bare append and sync of the size of a change, to compare the times of changes with.
+bool
+MeasureSync(const std::string& aFolder, nlohmann::ordered_json& aResult)
+{
+  constexpr size_t kBytes = 200;
+  const Storage::FilePort files = Control::PosixFiles();
+  const std::string path = aFolder + "/sync";
+  std::vector<double> times;
+  for (uint64_t i = 0; i < kChanges; ++i) {
+    const Base::TimePoint start = Base::RuntimeClock::now();
+    if (!files.mAppend(path, std::string(kBytes, 'x')).ok() || !files.mSyncFile(path).ok()) {
+      return false;
+    }
+    times.push_back(MillisecondsSince(start));
+  }
+  aResult["bare_sync_median_ms"] = Percentile(times, 0.5);
+  aResult["bare_sync_p99_ms"] = Percentile(times, 0.99);
+  return true;
+}
+
 /// Changes one after the other and in batches on real files, then the restart of an instance.
 bool
 MeasureChanges(uint64_t aSeed, const std::string& aFolder, nlohmann::ordered_json& aResult)
@@ -222,7 +242,8 @@
   }
   nlohmann::ordered_json result;
   result["seed"] = aSeed;
-  const bool measured = MeasureChanges(aSeed, folder, result) && MeasureRecovery(aSeed, result);
+  const bool measured = MeasureSync(folder, result) && MeasureChanges(aSeed, folder, result) &&
+                        MeasureRecovery(aSeed, result);
   std::filesystem::remove_all(folder);
   if (!measured) {
     std::cerr << "the replicas made no progress within the limit" << std::endl;
