--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -18,13 +18,15 @@
 Node::Node(const EntrySettings& aSettings, Base::Incarnation aIncarnation)
   : mSettings(aSettings)
   , mTransport(mContext, { aSettings.mInstance, aIncarnation, aSettings.mPeerListen }, mMetrics)
-  , mConfig(mSettings, mMetrics)
-  , mMembership(mContext, mSettings, aIncarnation, mTransport, mConfig.Services())
-  , mDatapath(mSettings, mConfig.Services(), mMembership.View(), mMetrics)
+  , mServices(std::make_shared<Config::ServiceIndex>())
+  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices)
+  , mConfig(mSettings, aIncarnation.mValue, mTransport, mMembership.View(), mServices, mMetrics)
+  , mDatapath(mSettings, mServices, mMembership.View(), mMetrics)
   , mPorts(MakePorts())
-  , mOpaque(mPorts, mMembership.View(), mConfig.Services(), mMetrics)
-  , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mConfig.Services(), mMetrics)
+  , mOpaque(mPorts, mMembership.View(), mServices, mMetrics)
+  , mRequests(mSettings, aIncarnation, mPorts, mMembership.View(), mServices, mMetrics)
   , mAnnounce(mMembership)
+  , mMetricsServer(mContext, mSettings.mMetricsListen, mMetrics)
   , mTimer(mContext)
 {
 }
@@ -72,6 +74,7 @@
     return listening;
   }
   mConfig.Start();
+  mMetricsServer.Start();
   mTransport.Start();
   mMembership.Start();
   mDatapath.Start(mOpaque, mRequests);
@@ -84,6 +87,7 @@
 void
 Node::Tick()
 {
+  mConfig.Tick();
   mOpaque.Tick();
   mRequests.Tick();
   mTimer.expires_after(kTickInterval);
@@ -103,8 +107,9 @@
   mAnnounce.Stop();
   mMembership.Leave();
   mRequests.BeginShutdown();
-  while (Base::RuntimeClock::now() < start + kLeaveNotice ||
-         (!mRequests.IsDrained() && Base::RuntimeClock::now() < limit)) {
+  while (
+    Base::RuntimeClock::now() < start + kLeaveNotice ||
+    (!(mRequests.IsDrained() && mOpaque.IsHandedOver()) && Base::RuntimeClock::now() < limit)) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   mDatapath.Stop();
--- a/src/tools/entry/node.h
+++ b/src/tools/entry/node.h
@@ -7,6 +7,7 @@
 #include "entrysettings.h"
 #include "membershipagent.h"
 #include "metrics/registry.h"
+#include "metricsserver.h"
 #include "opaquepath.h"
 #include "packetports.h"
 #include "peertransport.h"
@@ -43,13 +44,15 @@
   Metrics::Registry mMetrics;
   boost::asio::io_context mContext{ 1 };
   PeerTransport mTransport;
-  ConfigFollower mConfig;
+  Base::Snapshot<Config::ServiceIndex> mServices;
   MembershipAgent mMembership;
+  ConfigFollower mConfig;
   Datapath mDatapath;
   PacketPorts mPorts;
   OpaquePath mOpaque;
   RequestPath mRequests;
   AnnounceService mAnnounce;
+  MetricsServer mMetricsServer;
   Timer mTimer;
   std::thread mThread;
 };
--- a/src/tools/entry/requestpath.h
+++ b/src/tools/entry/requestpath.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "admission/scheduler.h"
 #include "base/ids.h"
+#include "base/random.h"
 #include "base/snapshot.h"
 #include "config/serviceindex.h"
 #include "entrysettings.h"
@@ -9,17 +9,19 @@
 #include "metrics/registry.h"
 #include "packetports.h"
 #include "peertransport.h"
+#include "requests/dispatcher.h"
 
-#include "caller.pb.h"
-#include "upstream.pb.h"
-
-#include <map>
+#include <array>
+#include <atomic>
+#include <memory>
 #include <mutex>
-#include <string>
+#include <optional>
+#include <vector>
 
 namespace Entry {
 
-/// Packets of request services.
+/// Packets of request services. The upstreams are distributed over shards, each with its own lock;
+/// all flows of an upstream are in one shard, so that one scheduler knows all its work.
 class RequestPath
 {
 public:
@@ -35,7 +37,7 @@
                           const Wire::ProxyAddresses& aAddresses,
                           absl::string_view aPayload);
 
-  /// Takes a packet from an upstream of the service.
+  /// Takes a packet from an upstream of the service. Called by all worker threads.
   void HandleUpstreamPacket(const Config::ServiceView& aService,
                             const Base::Endpoint& aUpstream,
                             absl::string_view aPayload);
@@ -46,55 +48,47 @@
   /// Called every 50 ms.
   void Tick();
 
-  /// Takes no new flows from now on.
+  /// Starts the graceful leave: flows go to a successor as soon as their running work has ended.
   void BeginShutdown();
 
-  /// \return true if no request is queued or runs.
+  /// \return true if nothing is left to finish or to hand over.
   bool IsDrained() const;
 
 private:
-  struct Flow
-  {
-    Base::Endpoint mUpstream;
-    Wire::ProxyAddresses mAddresses;
-    std::string mService;
-    Base::RequestNumber mHighest;
-  };
-  struct Running
+  struct Shard
   {
-    uint64_t mFlow = 0;
-    lw::caller::Request mRequest;
-    Base::TimePoint mDeadline;
+    Shard(const Base::Snapshot<Membership::View>& aView,
+          const Base::Snapshot<Config::ServiceIndex>& aServices);
+
+    mutable std::mutex mMutex;
+    /// Used under the lock; they take no other lock for views that have not changed.
+    Base::SnapshotReader<Membership::View> mView;
+    Base::SnapshotReader<Config::ServiceIndex> mServices;
+    Requests::State mState;
+    Base::RandomSource mRandom;
+    /// What this shard uses of the bounds of the instance, read by the other shards.
+    std::atomic<size_t> mFlows{ 0 };
+    std::atomic<size_t> mAnswerBytes{ 0 };
   };
 
-  void Open(const Config::ServiceView& aService,
-            const Wire::ProxyAddresses& aAddresses,
-            const lw::caller::OpenFlow& aOpen);
-  void Offer(const Wire::ProxyAddresses& aAddresses,
-             const lw::caller::Request& aRequest,
-             absl::string_view aPayload);
-  void Carry(const Base::Endpoint& aUpstream, const Admission::Effects& aEffects);
-  void Refuse(const Wire::ProxyAddresses& aAddresses,
-              uint64_t aFlow,
-              uint64_t aNumber,
-              lw::caller::Outcome aOutcome,
-              const std::string& aReason);
-  void SendToCaller(const Wire::ProxyAddresses& aAddresses, const lw::caller::EntryPacket& aPacket);
-  std::string MakeTicket(uint64_t aFlow) const;
+  size_t ShardOf(const Base::Endpoint& aUpstream) const;
+  std::optional<Base::Endpoint> SelectUpstream(const Membership::View& aView,
+                                               const Config::ServiceView& aService,
+                                               const Base::Endpoint& aCaller) const;
+  Requests::Limits LimitsFor(size_t aShard) const;
+  template<typename Decision>
+  void Decide(size_t aShard, const Decision& aDecision);
+  void Count(Requests::Event aEvent);
+  void CarryOut(const Membership::View& aView, const Requests::Effects& aEffects);
 
-  const EntrySettings& mSettings;
-  Base::Incarnation mIncarnation;
+  Requests::Settings mSettings;
   const PacketPorts& mPorts;
   const Base::Snapshot<Membership::View>& mView;
-  const Base::Snapshot<Config::ServiceIndex>& mServices;
-  Metrics::Counter& mMalformed;
-  Metrics::Counter& mDispatched;
-  mutable std::mutex mMutex;
-  bool mShuttingDown = false;
-  uint64_t mNextNumber = 1;
-  std::map<uint64_t, Flow> mFlows;
-  std::map<uint64_t, Running> mRunning;
-  std::map<Base::Endpoint, Admission::Scheduler> mSchedulers;
+  /// By Requests::Event; the first one, Event::None, has no counter.
+  std::vector<Metrics::Counter*> mCounters;
+  Metrics::Counter& mPeerGone;
+  Metrics::Gauge& mOpenFlows;
+  std::vector<std::unique_ptr<Shard>> mShards;
 };
 
 } // namespace Entry
