Lock the data directory and test a change whose answer is lost twice

Two processes with the same settings could repair one data directory at the same time before the second one failed to listen.

--- a/src/tools/control/logdriver.cpp
+++ b/src/tools/control/logdriver.cpp
@@ -3,7 +3,6 @@
 #include "absl/strings/str_cat.h"
 #include "config/validation.h"
 #include "logstatus.h"
-#include "posixfiles.h"
 
 #include <glog/logging.h>
 
@@ -61,6 +60,10 @@
 absl::Status
 LogDriver::Start()
 {
+  const absl::Status locked = mLock.Acquire(mSettings.mDataDirectory);
+  if (!locked.ok()) {
+    return locked;
+  }
   std::vector<std::string> notices;
   absl::StatusOr<Replication::Replica> replica =
     Replication::OpenReplica(mSettings.mConsensus,
--- a/src/tools/control/logdriver.h
+++ b/src/tools/control/logdriver.h
@@ -5,6 +5,7 @@
 #include "configstore.h"
 #include "controlsettings.h"
 #include "peersockets.h"
+#include "posixfiles.h"
 #include "replication/replica.h"
 #include "requestqueue.h"
 
@@ -69,6 +70,7 @@
   ConfigStore& mStore;
   zmq::context_t mContext;
   std::unique_ptr<PeerSockets> mPeers;
+  DirectoryLock mLock;
   RequestQueue mQueue;
   std::thread mThread;
   std::atomic<bool> mStopping{ false };
--- a/src/tools/control/posixfiles.cpp
+++ b/src/tools/control/posixfiles.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <dirent.h>
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -162,4 +163,30 @@
   return port;
 }
 
+DirectoryLock::~DirectoryLock()
+{
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+  }
+}
+
+absl::Status
+DirectoryLock::Acquire(const std::string& aPath)
+{
+  const absl::Status made = MakeDirectory(aPath);
+  if (!made.ok()) {
+    return made;
+  }
+  mDescriptor = open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (mDescriptor < 0) {
+    return SystemError("open", aPath);
+  }
+  if (flock(mDescriptor, LOCK_EX | LOCK_NB) != 0) {
+    return errno == EWOULDBLOCK
+             ? absl::FailedPreconditionError(absl::StrCat("another process uses ", aPath))
+             : SystemError("lock", aPath);
+  }
+  return absl::OkStatus();
+}
+
 } // namespace Control
--- a/src/tools/control/posixfiles.h
+++ b/src/tools/control/posixfiles.h
@@ -2,10 +2,31 @@
 
 #include "storage/fileport.h"
 
+#include "absl/status/status.h"
+
+#include <string>
+
 namespace Control {
 
 /// \return file operations by system calls.
 Storage::FilePort
 PosixFiles();
 
+/// Keeps other processes from opening the same data directory.
+class DirectoryLock
+{
+public:
+  DirectoryLock() = default;
+  ~DirectoryLock();
+  DirectoryLock(const DirectoryLock&) = delete;
+  DirectoryLock& operator=(const DirectoryLock&) = delete;
+
+  /// Creates the directory if it does not exist and locks it until this object is destroyed.
+  /// \return FailedPrecondition if another process holds it, or Unavailable.
+  absl::Status Acquire(const std::string& aPath);
+
+private:
+  int mDescriptor = -1;
+};
+
 } // namespace Control
--- a/tests/auto/control/tst_cluster.cpp
+++ b/tests/auto/control/tst_cluster.cpp
@@ -195,3 +195,23 @@
   LONGS_EQUAL(term + 1, mCluster.Status(next).control().term());
   MustAccept(2);
 }
+
+// Guards against a change that is applied again, or refused as a conflict with itself, when its
+// answer is lost twice, each time together with the leader that accepted or knew it.
+TEST(Cluster, ChangeWhoseAnswerIsLostTwiceIsAppliedOnce)
+{
+  CHECK_TRUE(mCluster.WaitForLeader() != 0);
+  MustAccept(1);
+  for (int lost = 0; lost < 2; ++lost) {
+    MustAccept(2); // This answer counts as lost.
+    const uint32_t leader = mCluster.WaitForLeader();
+    mCluster.Signal(leader, SIGKILL);
+    CHECK_TRUE(mCluster.WaitForLeader() != 0);
+    mCluster.Start(leader);
+    CHECK_TRUE(
+      ControlCluster::WaitUntil([&] { return AreAllVotersSynced(); }, std::chrono::seconds(30)));
+  }
+  MustAccept(2);
+  MustAccept(3);
+  CheckAllPresent(3);
+}
