--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -25,6 +25,8 @@
       return Event::RefuseQueueFull;
     case Admission::RefusalReason::DeadlineTooShort:
       return Event::RefuseDeadlineTooShort;
+    case Admission::RefusalReason::UpstreamHung:
+      return Event::RefuseUpstreamHung;
     case Admission::RefusalReason::DeadlinePassed:
       break;
   }
--- a/src/libs/requests/event.cpp
+++ b/src/libs/requests/event.cpp
@@ -35,6 +35,7 @@
   { "lw_request_refusals_total{reason=\"queue_full\"}", "queue is full" },
   { "lw_request_refusals_total{reason=\"deadline_too_short\"}", "deadline is too short" },
   { "lw_request_refusals_total{reason=\"deadline_passed\"}", "deadline passed before dispatch" },
+  { "lw_request_refusals_total{reason=\"upstream_hung\"}", "upstream stopped answering" },
   { "lw_request_refusals_total{reason=\"unknown_kind\"}", "service has no such kind of work" },
   { "lw_request_refusals_total{reason=\"upstream_gone\"}", "upstream is gone, open a new flow" },
   { "lw_request_refusals_total{reason=\"shed\"}", "upstream refused the work" },
--- a/tests/auto/requests/tst_owner.cpp
+++ b/tests/auto/requests/tst_owner.cpp
@@ -20,11 +20,30 @@
     return works.at(0).id();
   }
 
-  /// Answers requests until the retry budget has room.
+  /// Gives the upstream several slots and lets its slow start, which begins with its first work,
+  /// end.
+  void WarmUp(uint32_t aSlots)
+  {
+    constexpr seconds kSlowStart{ 10 };
+    const OpenedFlow other = Open(mNode, 99);
+    const auto works = WorksIn(mNode.Caller(MakeRequest(other, 1)));
+    mNode.Advance(milliseconds(300));
+    mNode.Upstream(MakePiece(works.at(0).id(), 0, 1, "a"));
+    mNode.mView.mUpstreams[0].mSlots = aSlots;
+    mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
+    mNode.Tick();
+    mNode.Advance(kSlowStart);
+    mNode.Tick();
+  }
+
+  /// Answers requests until the retry budget has room. An answer takes 200 ms, so that an upstream
+  /// does not count as hung before a request without an answer is sent again.
   void FillRetryBudget()
   {
     for (uint64_t number = 1; number <= 20; ++number) {
-      mNode.Upstream(MakePiece(Dispatch(number), 0, 1, "a"));
+      const lw::upstream::WorkId id = Dispatch(number);
+      mNode.Advance(milliseconds(200));
+      mNode.Upstream(MakePiece(id, 0, 1, "a"));
     }
   }
 };
@@ -114,7 +133,7 @@
 // from an earlier run, or sent by another upstream.
 TEST(Owner, AnswersMatchOneRequest)
 {
-  mNode.mView.mUpstreams[0].mSlots = 2;
+  WarmUp(2);
   const OpenedFlow other = Open(mNode, 2);
   const lw::upstream::WorkId first = Dispatch(1);
   const lw::upstream::WorkId second = WorksIn(mNode.Caller(MakeRequest(other, 1))).at(0).id();
@@ -130,29 +149,47 @@
 }
 
 // Guards against a retry of a non-idempotent request that was not refused by the upstream.
-TEST(Owner, OnlyRepeatableRequestsAreSentAgainAfterLoss)
+TEST(Owner, NonIdempotentRequestIsNotSentAgainAfterLoss)
 {
+  WarmUp(2);
   FillRetryBudget();
   Dispatch(21);
-  mNode.Advance(milliseconds(900));
-  CHECK_TRUE(mNode.Tick().mToUpstreams.empty());
-  mNode.Advance(milliseconds(200));
-  mNode.Tick();
-  Dispatch(22, true);
-  mNode.mView.mUpstreams[0].mSlots = 2;
-  mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
+  for (int step = 0; step < 22; ++step) {
+    mNode.Advance(milliseconds(50));
+    CHECK_TRUE(WorksIn(mNode.Tick()).empty());
+  }
+}
+
+// Guards against a repeatable request that is lost although the retry budget has room.
+TEST(Owner, RepeatableRequestIsSentAgainAfterLoss)
+{
+  WarmUp(2);
+  FillRetryBudget();
+  Dispatch(21, true);
   mNode.Advance(milliseconds(600));
   const auto retries = WorksIn(mNode.Tick());
   UNSIGNED_LONGS_EQUAL(1, retries.size());
   UNSIGNED_LONGS_EQUAL(1, PiecesIn(mNode.Upstream(MakePiece(retries[0].id(), 0, 1, "a"))).size());
 }
 
+// Guards against "deadline passed" being said of work that was refused because the upstream hangs.
+TEST(Owner, HungUpstreamIsNamedInTheRefusal)
+{
+  WarmUp(2);
+  FillRetryBudget();
+  const auto request = MakeRequest(mFlow, 21, false, "body", 10000);
+  UNSIGNED_LONGS_EQUAL(1, WorksIn(mNode.Caller(request)).size());
+  mNode.Advance(seconds(3));
+  mNode.Tick();
+  const Requests::Effects refused = mNode.Caller(MakeRequest(mFlow, 22));
+  CHECK_TRUE(HasOutcome(refused, lw::caller::NOT_RUN) && refused.mToUpstreams.empty());
+  CHECK_TRUE(Counts(refused, Event::RefuseUpstreamHung));
+}
+
 // Guards against an answer that is mixed from two runs after pieces were lost.
 TEST(Owner, PartlyLostAnswerIsNotMixedWithItsRepetition)
 {
-  mNode.mView.mUpstreams[0].mSlots = 2;
-  mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
-  mNode.Tick();
+  WarmUp(2);
   FillRetryBudget();
   const lw::upstream::WorkId first = Dispatch(21, true);
   mNode.Upstream(MakePiece(first, 0, 2, "old a"));
@@ -202,9 +239,7 @@
 // Guards against "not run" for a cancellation that lost the race with the dispatch.
 TEST(Owner, CanceledAfterDispatchTellsWhatTheUpstreamSays)
 {
-  mNode.mView.mUpstreams[0].mSlots = 3;
-  mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
-  mNode.Tick();
+  WarmUp(3);
   const lw::upstream::WorkId answered = Dispatch(1);
   const lw::upstream::WorkId refused = Dispatch(2);
   Dispatch(3);
@@ -240,8 +275,7 @@
 // once.
 TEST(Owner, DrainingUpstreamGetsNoWorkAfterItsGrace)
 {
-  mNode.mView.mUpstreams[0].mSlots = 3;
-  mNode.mView.mUpstreams[0].mLeaseEnd = mNode.mNow + seconds(60);
+  WarmUp(3);
   const lw::upstream::WorkId running = Dispatch(1);
   mNode.mView.mUpstreams[0].mState = Membership::UpstreamState::Draining;
   mNode.Tick();
