--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,3 +1,4 @@
+#include "measure/consensusmeasure.h"
 #include "measure/floodmeasure.h"
 #include "measure/requestsmeasure.h"
 #include "measure/subcommands.h"
@@ -53,6 +54,7 @@
 
 // Sorted by name, one line each.
 constexpr Subcommand kSubcommands[] = {
+  { "consensus", RunConsensusMeasure, "changes per second, time to accept, recovery" },
   { "flood", RunFlood, "goodput and latency of other work during floods" },
   { "placement", RunPlacement, "broken flows, time, memory, imbalance" },
   { "requests", RunRequestsMeasure, "memory, time, outcomes of a randomized run" },
