--- a/src/tools/control/posixfiles.cpp
+++ b/src/tools/control/posixfiles.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <dirent.h>
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -15,7 +16,7 @@
 
 constexpr mode_t kDirectoryMode = 0700;
 constexpr mode_t kFileMode = 0600;
-constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kReadBytes = size_t{ 64 } * 1024;
 
 absl::Status
 SystemError(const char* aOperation, const std::string& aPath)
@@ -162,4 +163,30 @@
   return port;
 }
 
+DirectoryLock::~DirectoryLock()
+{
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+  }
+}
+
+absl::Status
+DirectoryLock::Acquire(const std::string& aPath)
+{
+  const absl::Status made = MakeDirectory(aPath);
+  if (!made.ok()) {
+    return made;
+  }
+  mDescriptor = open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (mDescriptor < 0) {
+    return SystemError("open", aPath);
+  }
+  if (flock(mDescriptor, LOCK_EX | LOCK_NB) != 0) {
+    return errno == EWOULDBLOCK
+             ? absl::FailedPreconditionError(absl::StrCat("another process uses ", aPath))
+             : SystemError("lock", aPath);
+  }
+  return absl::OkStatus();
+}
+
 } // namespace Control
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,3 +1,4 @@
+#include "measure/consensusmeasure.h"
 #include "measure/floodmeasure.h"
 #include "measure/membershipmeasure.h"
 #include "measure/requestsmeasure.h"
@@ -54,6 +55,7 @@
 
 // Sorted by name, one line each.
 constexpr Subcommand kSubcommands[] = {
+  { "consensus", RunConsensusMeasure, "changes per second, time to accept, recovery" },
   { "flood", RunFlood, "goodput and latency of other work during floods" },
   { "membership", Measure::RunMembershipMeasure, "control traffic, time, memory, spread" },
   { "placement", RunPlacement, "broken flows, time, memory, imbalance" },
--- a/tests/auto/consensus/tst_following.cpp
+++ b/tests/auto/consensus/tst_following.cpp
@@ -27,7 +27,7 @@
   for (uint32_t instance = 1; instance <= aVoters; ++instance) {
     lw::consensus::Replica* replica = entry.mutable_membership()->add_replicas();
     replica->set_instance(instance);
-    replica->set_storage(instance * 100);
+    replica->set_storage(instance * uint64_t{ 100 });
     replica->set_voter(true);
   }
   return entry;
@@ -153,6 +153,14 @@
   CHECK_TRUE(Deliver(VoteRequest(kLeader, 5)).vote_reply().granted());
 }
 
+// Guards against a follower that takes entries from a leader of an earlier term after a crash.
+TEST(Following, TermSurvivesACrash)
+{
+  Deliver(Append(5, 0, 0, {}));
+  CrashAndOpen();
+  CHECK_FALSE(Deliver(Append(4, 0, 0, {})).append_reply().matched());
+}
+
 // Guards against a quorum that is counted with a membership which was never committed.
 TEST(Following, ReplacedMembershipIsNoLongerInForce)
 {
