Bound digests in bytes and name the newest beats in large regions

Cause: with more members than one digest can name an instance never became ready, and a random window of the members let beats age: in a trial with 450 instances and 2,667 upstreams 0.08% of the lease samples were missing, the oldest beat was 4.8 s old. Digests now name the members with the newest beats; the member count replaces the mark of a complete digest. The leave message names the successor that the request path selects.

--- a/src/libs/membership/compose.cpp
+++ b/src/libs/membership/compose.cpp
@@ -70,10 +70,10 @@
 }
 
 Message
-MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow, uint64_t aStart)
+MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow)
 {
   Message message;
-  AddFullDigest(aState, aStart, aNow, message);
+  AddFullDigest(aState, aNow, message);
   AddCommonFields(aState, aNow, message);
   AddHotRumors(aState, aSettings, aNow, message);
   AddHotDeltas(aState, aSettings, aNow, message);
--- a/src/libs/membership/compose.h
+++ b/src/libs/membership/compose.h
@@ -23,9 +23,8 @@
              lw::membership::Message& aMessage);
 
 /// \return a message with the full digest and recent changes.
-/// \param aStart selects the part of the digest if there are too many members for one.
 lw::membership::Message
-MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow, uint64_t aStart);
+MakeGossip(State& aState, const Settings& aSettings, Base::TimePoint aNow);
 
 /// Collects an answer. The first datagram gets what is bounded by count; records go into others,
 /// and another one is begun when one is full.
--- a/src/libs/membership/digest.cpp
+++ b/src/libs/membership/digest.cpp
@@ -14,6 +14,8 @@
 constexpr Base::Duration kAgeUnit = std::chrono::milliseconds(25);
 /// Older beats are left out; they extend no lease.
 constexpr int64_t kMaxAge = 255;
+/// Leaves room for rumors and small changes in a datagram.
+constexpr size_t kMaxDigestBytes = 1100;
 /// Members whose runs are compared together. A member that only one side knows keeps the beats of
 /// its block from being used until both know it, so blocks are small.
 constexpr uint32_t kBlockIds = 16;
@@ -117,15 +119,16 @@
   return entries;
 }
 
+/// Keeps the entries with the lowest ages; the own one has age 0.
 void
-KeepPart(const State& aState, uint64_t aStart, std::vector<Entry>& aEntries)
+KeepNewest(size_t aCount, std::vector<Entry>& aEntries)
 {
-  std::rotate(aEntries.begin(), aEntries.begin() + (aStart % aEntries.size()), aEntries.end());
-  const auto own = std::find_if(aEntries.begin(), aEntries.end(), [&](const Entry& aEntry) {
-    return aEntry.mId == aState.mSelf;
-  });
-  std::iter_swap(aEntries.begin(), own);
-  aEntries.resize(kMaxDigestEntries);
+  const auto end = aEntries.begin() + static_cast<ptrdiff_t>(aCount);
+  std::nth_element(
+    aEntries.begin(), end, aEntries.end(), [](const Entry& aLeft, const Entry& aRight) {
+      return aLeft.mAge < aRight.mAge;
+    });
+  aEntries.erase(end, aEntries.end());
   std::sort(aEntries.begin(), aEntries.end(), [](const Entry& aLeft, const Entry& aRight) {
     return aLeft.mId < aRight.mId;
   });
@@ -331,19 +334,21 @@
 } // namespace
 
 void
-AddFullDigest(const State& aState,
-              uint64_t aStart,
-              Base::TimePoint aNow,
-              lw::membership::Message& aMessage)
+AddFullDigest(const State& aState, Base::TimePoint aNow, lw::membership::Message& aMessage)
 {
   std::vector<Entry> entries = CollectEntries(aState, aNow);
-  const bool complete = entries.size() <= kMaxDigestEntries;
-  if (!complete) {
-    KeepPart(aState, aStart, entries);
+  aMessage.set_members(static_cast<uint32_t>(entries.size()));
+  if (entries.size() > kMaxDigestEntries) {
+    KeepNewest(kMaxDigestEntries, entries);
   }
   Encode(entries, aMessage);
   EncodeRuns(aState, entries, aMessage);
-  aMessage.set_digest_complete(complete);
+  // Scattered ids and mixed versions take more bytes for each entry.
+  while (aMessage.ByteSizeLong() > kMaxDigestBytes) {
+    KeepNewest(entries.size() * 3 / 4, entries);
+    Encode(entries, aMessage);
+    EncodeRuns(aState, entries, aMessage);
+  }
 }
 
 void
--- a/src/libs/membership/digest.h
+++ b/src/libs/membership/digest.h
@@ -6,16 +6,13 @@
 
 namespace Membership {
 
-/// Most entries of one digest. Larger availability zones send a part of their members in turn.
+/// Most entries of one digest. With more members it names those with the newest beats, which the
+/// receiver most likely lacks; all others are named by members that have heard of them later.
 constexpr size_t kMaxDigestEntries = 250;
 
-/// Adds the digest of the own instance and all members with a recent beat to a message.
-/// \param aStart selects the part that is sent if there are too many members.
+/// Adds the digest of the own instance and the members with the newest beats to a message.
 void
-AddFullDigest(const State& aState,
-              uint64_t aStart,
-              Base::TimePoint aNow,
-              lw::membership::Message& aMessage);
+AddFullDigest(const State& aState, Base::TimePoint aNow, lw::membership::Message& aMessage);
 
 /// Adds a digest of the own instance only.
 void
--- a/src/libs/membership/gossip.cpp
+++ b/src/libs/membership/gossip.cpp
@@ -74,9 +74,7 @@
   aState.mNextGossip = std::max(aState.mNextGossip + aSettings.mGossipInterval, aNow);
   const Record* target = GossipTarget(aState, aRandom);
   if (target != nullptr) {
-    aOutbox.push_back({ target->mId,
-                        target->mEndpoint,
-                        MakeGossip(aState, aSettings, aNow, Base::NextRandom(aRandom)) });
+    aOutbox.push_back({ target->mId, target->mEndpoint, MakeGossip(aState, aSettings, aNow) });
   }
 }
 
@@ -95,7 +93,7 @@
   std::vector<Base::Endpoint> contacts = SilentContacts(aState, aSettings);
   for (size_t sent = 0; sent < (alone ? kJoinSeeds : 1) && !contacts.empty(); ++sent) {
     const size_t chosen = Base::NextBelow(aRandom, contacts.size());
-    Message message = MakeGossip(aState, aSettings, aNow, Base::NextRandom(aRandom));
+    Message message = MakeGossip(aState, aSettings, aNow);
     if (message.deltas_size() == 0) {
       *message.add_deltas() =
         MakeDelta(aState, OwnRecord(aState), 0, 0, aNow, aSettings.mMaxPayload / 2);
--- a/src/libs/membership/protocol.cpp
+++ b/src/libs/membership/protocol.cpp
@@ -18,6 +18,8 @@
 using lw::membership::Message;
 
 constexpr Base::Duration kPullSpacing = std::chrono::milliseconds(150);
+/// Limit of the last record of a leaving instance, which few upstreams still concern.
+constexpr size_t kLeaveBytes = 1000;
 /// Pulls and rumors in one answer. Keeps them within one datagram.
 constexpr int kMaxPulls = 40;
 /// A tick that is late by more means that the process was stopped, and that datagrams have waited.
@@ -119,6 +121,14 @@
   }
 }
 
+size_t
+CopiedMembers(const State& aState)
+{
+  return std::count_if(aState.mRecords.begin(), aState.mRecords.end(), [](const auto& aEntry) {
+    return IsInRing(aEntry.second) && aEntry.second.mCopied > 0;
+  });
+}
+
 void
 HandleDigest(State& aState,
              const Settings& aSettings,
@@ -143,7 +153,9 @@
   }
   if (!aMessage.joining()) {
     aState.mHeardFromReady = true;
-    aState.mReady = aState.mReady || (aMessage.digest_complete() && digest.mAllCopied);
+    const bool complete =
+      aMessage.members() > 0 && digest.mAllCopied && CopiedMembers(aState) >= aMessage.members();
+    aState.mReady = aState.mReady || complete;
   }
 }
 
@@ -269,8 +281,8 @@
   for (const auto& pull : aMessage.pulls()) {
     AnswerPull(aState, pull, aNow, reply);
   }
-  if (aMessage.joining() && aMessage.digest_complete()) {
-    AddFullDigest(aState, 0, aNow, reply.mMessages.emplace_back());
+  if (aMessage.joining() && aMessage.members() > 0) {
+    AddFullDigest(aState, aNow, reply.mMessages.emplace_back());
   }
   for (Outgoing& outgoing : outbox) {
     AddCommonFields(aState, aNow, outgoing.mMessage);
@@ -311,8 +323,7 @@
     const Record& peer = *FindRecord(aState, ring[chosen]);
     Message message;
     AddCommonFields(aState, aNow, message);
-    *message.add_deltas() =
-      MakeDelta(aState, own, own.mHotFrom, own.mHotFrom, aNow, kMaxDigestEntries * 4);
+    *message.add_deltas() = MakeDelta(aState, own, own.mHotFrom, own.mHotFrom, aNow, kLeaveBytes);
     outbox.push_back({ peer.mId, peer.mEndpoint, std::move(message) });
     ring.erase(ring.begin() + static_cast<ptrdiff_t>(chosen));
   }
--- a/src/tools/entry/membershipagent.cpp
+++ b/src/tools/entry/membershipagent.cpp
@@ -1,5 +1,6 @@
 #include "membershipagent.h"
 
+#include "base/hash.h"
 #include "membership/protocol.h"
 #include "membership/viewbuilder.h"
 
@@ -38,23 +39,26 @@
   { "membership_rejected_messages_total", &Membership::Counts::mRejectedMessages },
 };
 
-/// Selects the next member in the order of ids, of the own availability zone if there is one.
+/// Selects the member to which the request path hands its flows over: the same rule as in the
+/// requests library, so that the leave message names the right successor.
 Base::InstanceId
 SelectSuccessor(const Membership::View& aView)
 {
-  const Membership::Member* best = nullptr;
-  const auto rank = [&aView](const Membership::Member& aMember) {
-    return std::make_tuple(
-      aMember.mAvailabilityZone != aView.mAvailabilityZone, aMember.mId < aView.mSelf, aMember.mId);
-  };
+  Base::InstanceId best;
+  std::pair<bool, uint64_t> bestScore;
   for (const Membership::Member& member : aView.mMembers) {
-    const bool candidate =
-      member.mId != aView.mSelf && member.mState == Membership::MemberState::Alive;
-    if (candidate && (best == nullptr || rank(member) < rank(*best))) {
-      best = &member;
+    if (member.mId == aView.mSelf || member.mState != Membership::MemberState::Alive) {
+      continue;
+    }
+    const bool isNear = member.mAvailabilityZone == aView.mAvailabilityZone;
+    const std::pair<bool, uint64_t> score(
+      isNear, Base::StableHash({ aView.mIncarnation.mValue, member.mId.mValue }));
+    if (best == Base::InstanceId() || score > bestScore) {
+      best = member.mId;
+      bestScore = score;
     }
   }
-  return best != nullptr ? best->mId : Base::InstanceId();
+  return best;
 }
 
 } // namespace
--- a/tests/auto/membership/tst_members.cpp
+++ b/tests/auto/membership/tst_members.cpp
@@ -1,4 +1,5 @@
 #include "measure/membershipnetwork.h"
+#include "membership/compose.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -232,6 +233,29 @@
   LONGS_EQUAL(3, node.mState.mRecords.size());
 }
 
+// Guards against digests above the limit with more members than one digest can name, with all
+// versions in force mixed, and against a digest without the sender's own entry.
+TEST(Members, DigestsOfLargeRegionsStayWithinTheirLimit)
+{
+  Network network(1);
+  StartNode(network, 1, {});
+  Node& node = network.mNodes.at(1);
+  for (uint32_t id = 2; id <= 900; ++id) {
+    Membership::Record& record = node.mState.mRecords[Base::InstanceId(id)];
+    record.mId = Base::InstanceId(id);
+    record.mCopied = 1;
+    record.mLeaseBeat = network.mNow - std::chrono::milliseconds(id % 7 * 100);
+    record.mVersionInForce = Base::ConfigVersion(100 + id % 3);
+  }
+  const lw::membership::Message message =
+    Membership::MakeGossip(node.mState, node.mSettings, network.mNow);
+  CHECK_TRUE(message.ByteSizeLong() <= node.mSettings.mMaxPayload);
+  LONGS_EQUAL(900, message.members());
+  // Gap 1, run length, then the own entry with age 0.
+  LONGS_EQUAL(1, message.digest()[0]);
+  LONGS_EQUAL(0, message.digest()[2]);
+}
+
 // Guards against datagrams above the limit, which would be fragmented, when many records change.
 TEST(Members, DatagramsStayWithinTheirLimit)
 {
