--- a/src/libs/admission/guarantee.cpp
+++ b/src/libs/admission/guarantee.cpp
@@ -12,14 +12,16 @@
 
 // Burst of a guarantee in seconds of its rate. Long enough for arrivals that come in groups, short
 // against the deadlines of the kinds that wait meanwhile.
-constexpr double kBurstSeconds = 0.2;
+constexpr double kBurstSeconds = 0.1;
+// Work of one client at one upstream is sparse and comes less evenly than that of a kind.
+constexpr double kClientBurstSeconds = 0.2;
 // At least this many items fit into the burst of a kind or client with a share.
 constexpr double kMinBurstItems = 2;
 
 double
-BurstOf(double aRate, double aMean)
+BurstOf(double aRate, double aMean, double aSeconds)
 {
-  return aRate > 0 ? std::max(kBurstSeconds * aRate, kMinBurstItems * aMean) : 0;
+  return aRate > 0 ? std::max(aSeconds * aRate, kMinBurstItems * aMean) : 0;
 }
 
 template<typename Map, typename Predicate>
@@ -40,12 +42,13 @@
   for (auto& [kindName, kind] : aScheduler.mKinds) {
     const double rate = KindShare(aPolicy, kindName) * slots;
     const double mean = Seconds(kind.mServiceTime.mMean).count();
-    Refill(kind.mGuarantee, rate, BurstOf(rate, mean), aNow);
+    Refill(kind.mGuarantee, rate, BurstOf(rate, mean, kBurstSeconds), aNow);
     for (auto& [clientName, client] : kind.mClients) {
       const Policy::Client* terms = FindClient(aPolicy, clientName);
       if (terms != nullptr) {
         const double clientRate = rate * ClientShare(aPolicy, clientName);
-        const double depth = BurstOf(clientRate, mean) + terms->mSurgeAllowance * mean;
+        const double depth =
+          BurstOf(clientRate, mean, kClientBurstSeconds) + terms->mSurgeAllowance * mean;
         Refill(client.mGuarantee, clientRate, depth, aNow);
       }
     }
--- a/src/libs/admission/queuelimit.cpp
+++ b/src/libs/admission/queuelimit.cpp
@@ -113,9 +113,12 @@
     return std::nullopt;
   }
   const size_t limit = EffectiveLimit(aScheduler.mLimit, aNow);
-  const double slots = SlotsOfKind(aScheduler, aPolicy, aName.mKind, limit, aNow) *
-                       PartOfClient(kind, aPolicy, aName.mClient);
-  const double wait = static_cast<double>(queued) * SecondsOf(kind.mServiceTime.mMean) / slots;
+  const double mean = SecondsOf(kind.mServiceTime.mMean);
+  const double slots = SlotsOfKind(aScheduler, aPolicy, aName.mKind, limit, aNow);
+  const double part = PartOfClient(kind, aPolicy, aName.mClient);
+  // The client waits for its own work at its share, but never longer than for all work of the kind.
+  const double own = static_cast<double>(queued) / part;
+  const double wait = std::min(own, static_cast<double>(kind.mQueued)) * mean / slots;
   if (wait + SecondsOf(CautiousEstimate(kind.mServiceTime)) > SecondsOf(remaining)) {
     return RefusalReason::QueueFull;
   }
--- /dev/null
+++ b/tests/auto/measure/floodchecks.cpp
@@ -0,0 +1,35 @@
+#include "floodchecks.h"
+
+#include "measure/floodreport.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+constexpr double kShort = 0.5;
+constexpr double kTargetFactor = 10;
+
+} // namespace
+
+void
+CheckFloodTargets(const std::string& aService, FloodOf aFloodOf)
+{
+  Measure::FloodSettings settings;
+  settings.mLengthFactor = kShort;
+  size_t checked = 0;
+  for (const Measure::FloodPlan& plan : Measure::FloodPlans(kFloodSeed, settings)) {
+    const bool ofClient = !plan.mFlood.mClient.empty();
+    if (plan.mService.mName != aService || plan.mFlood.mFactor < kTargetFactor ||
+        ofClient != (aFloodOf == FloodOf::OneClient)) {
+      continue;
+    }
+    const Measure::Comparison comparison = Measure::Compare(plan, Measure::Control::Policy);
+    const Measure::FloodFigures figures = Measure::FiguresOf(plan, comparison);
+    ++checked;
+    CHECK_TRUE_TEXT(figures.mGoodputRatio >= Measure::kMinGoodputRatio, plan.mName.c_str());
+    CHECK_TRUE_TEXT(figures.mP99Ratio > 0, plan.mName.c_str());
+    CHECK_TRUE_TEXT(figures.mP99Ratio <= Measure::kMaxP99Ratio, plan.mName.c_str());
+    CHECK_TRUE_TEXT(figures.mImbalance <= Measure::kMaxImbalance, plan.mName.c_str());
+  }
+  LONGS_EQUAL(aFloodOf == FloodOf::Kinds ? 2 : 1, checked);
+}
