Add the burn report lw-burn

Cause: error budgets of the services were not visible. lw-burn reads counters of all entry instances over loopback HTTP or from saved files, keeps a trimmed history, and writes multi-window burn rates as text, JSON and one HTML page. The decision code is the library burn.

--- /dev/null
+++ b/src/libs/burn/burnrate.cpp
@@ -0,0 +1,142 @@
+#include "burn/burnrate.h"
+
+#include <algorithm>
+
+namespace Burn {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+
+constexpr int kPlotPoints = 72;
+// Fewer samples than this part of a window are no basis for an alert.
+constexpr double kMinCoverage = 0.5;
+
+bool
+Burns(const WindowBurn& aBurn, double aThreshold)
+{
+  return aBurn.mRate >= aThreshold && aBurn.mCoverage >= kMinCoverage;
+}
+
+PairBurn
+BurnOfPair(const History& aHistory,
+           const Objective& aObjective,
+           const WindowPair& aPair,
+           WallTime aNow)
+{
+  PairBurn burn;
+  burn.mShort = BurnOver(aHistory, aObjective, aPair.mShort, aNow);
+  burn.mLong = BurnOver(aHistory, aObjective, aPair.mLong, aNow);
+  burn.mThreshold = aPair.mThreshold;
+  // A long window that has not filled yet must not hide a burn, so only the short one needs
+  // coverage.
+  burn.mAlerts = Burns(burn.mShort, aPair.mThreshold) && burn.mLong.mRate >= aPair.mThreshold;
+  return burn;
+}
+
+std::vector<PlotPoint>
+PlotOf(const History& aHistory,
+       const Objective& aObjective,
+       const std::vector<WindowPair>& aWindows,
+       WallTime aNow)
+{
+  std::chrono::seconds shortest = aWindows.front().mShort;
+  std::chrono::seconds longest = aWindows.front().mLong;
+  for (const WindowPair& pair : aWindows) {
+    shortest = std::min(shortest, pair.mShort);
+    longest = std::max(longest, pair.mLong);
+  }
+  std::vector<PlotPoint> points;
+  for (int i = 0; i <= kPlotPoints; ++i) {
+    const WallTime time = aNow - longest + longest * i / kPlotPoints;
+    points.push_back({ time, BurnOver(aHistory, aObjective, shortest, time).mRate });
+  }
+  return points;
+}
+
+std::vector<std::string>
+SilentInstances(const History& aHistory,
+                const std::vector<std::string>& aInstances,
+                std::chrono::seconds aShortest,
+                WallTime aNow)
+{
+  std::vector<std::string> silent;
+  for (const std::string& instance : aInstances) {
+    const auto found = aHistory.find(instance);
+    if (found == aHistory.end() || found->second.empty() ||
+        found->second.rbegin()->first < aNow - aShortest) {
+      silent.push_back(instance);
+    }
+  }
+  return silent;
+}
+
+} // namespace
+
+std::vector<WindowPair>
+DefaultWindows()
+{
+  return { { minutes(5), hours(1), 14.4 }, { minutes(30), hours(6), 6 } };
+}
+
+WindowBurn
+BurnOver(const History& aHistory,
+         const Objective& aObjective,
+         std::chrono::seconds aWindow,
+         WallTime aEnd)
+{
+  const Increase total = IncreaseOver(aHistory, aObjective.mTotal, aWindow, aEnd);
+  const Increase bad = IncreaseOver(aHistory, aObjective.mBad, aWindow, aEnd);
+  WindowBurn burn;
+  burn.mWindow = aWindow;
+  burn.mTotal = total.mValue;
+  burn.mBad = bad.mValue;
+  burn.mCoverage = total.mCoverage;
+  // Without traffic no budget is used.
+  const double ratio = total.mValue > 0 ? bad.mValue / total.mValue : 0;
+  burn.mRate = ratio / (1 - aObjective.mTarget);
+  return burn;
+}
+
+Report
+MakeReport(const History& aHistory,
+           const std::vector<Objective>& aObjectives,
+           const std::vector<WindowPair>& aWindows,
+           const std::vector<std::string>& aInstances,
+           WallTime aNow)
+{
+  Report report;
+  report.mTime = aNow;
+  if (aWindows.empty()) {
+    return report;
+  }
+  std::chrono::seconds shortest = aWindows.front().mShort;
+  for (const WindowPair& pair : aWindows) {
+    shortest = std::min(shortest, pair.mShort);
+  }
+  report.mSilentInstances = SilentInstances(aHistory, aInstances, shortest, aNow);
+  for (const Objective& objective : aObjectives) {
+    ObjectiveBurn burn;
+    burn.mObjective = objective;
+    for (const WindowPair& pair : aWindows) {
+      burn.mPairs.push_back(BurnOfPair(aHistory, objective, pair, aNow));
+    }
+    burn.mPlot = PlotOf(aHistory, objective, aWindows, aNow);
+    report.mObjectives.push_back(std::move(burn));
+  }
+  return report;
+}
+
+bool
+HasAlert(const Report& aReport)
+{
+  return std::any_of(
+    aReport.mObjectives.begin(), aReport.mObjectives.end(), [](const ObjectiveBurn& aBurn) {
+      return std::any_of(aBurn.mPairs.begin(), aBurn.mPairs.end(), [](const PairBurn& aPair) {
+        return aPair.mAlerts;
+      });
+    });
+}
+
+} // namespace Burn
--- /dev/null
+++ b/src/libs/burn/prometheustext.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Burn {
+
+/// Name and labels of a series. As a selector it matches each series that has the name and at least
+/// these labels.
+struct Series
+{
+  std::string mName;
+  std::map<std::string, std::string> mLabels;
+};
+
+bool
+operator<(const Series& aLeft, const Series& aRight);
+
+bool
+Matches(const Series& aSelector, const Series& aSeries);
+
+/// Values of one instance at one time.
+using Samples = std::map<Series, double>;
+
+/// Parses a series such as refusals_total{reason="queue full"}.
+/// \return the series, or InvalidArgument that quotes the text.
+absl::StatusOr<Series>
+ParseSeries(const std::string& aText);
+
+/// \return the text that ParseSeries reads back as the same series.
+std::string
+FormatSeries(const Series& aSeries);
+
+/// Parses the Prometheus text format. Comments and time stamps are ignored.
+/// \return the values, or InvalidArgument with the number of the line.
+absl::StatusOr<Samples>
+ParsePrometheusText(const std::string& aText);
+
+} // namespace Burn
--- /dev/null
+++ b/src/tools/burn/historyfile.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "burn/history.h"
+
+#include <string>
+
+namespace BurnTool {
+
+/// \return one JSON object for each line, with time, instance and values.
+std::string
+FormatHistory(const Burn::History& aHistory);
+
+/// \return the history, or DataLoss with the number of the line.
+absl::StatusOr<Burn::History>
+ParseHistory(const std::string& aText);
+
+} // namespace BurnTool
