--- a/src/libs/admission/queuelimit.cpp
+++ b/src/libs/admission/queuelimit.cpp
@@ -46,9 +46,11 @@
   const double own = KindWeight(aPolicy, aName);
   const double most = MaxRunning(aScheduler, aPolicy, aName, aLimit, Claim::Guaranteed, aNow);
   const double share = std::min(most, static_cast<double>(aLimit) * own / active);
-  // Without a share the kind is still served once in each kStarvationBound.
+  // Without a share the kind is still served by the rule against starvation.
   const double mean = SecondsOf(aScheduler.mKinds.at(aName).mServiceTime.mMean);
-  return std::max(share, mean / SecondsOf(kStarvationBound));
+  const Base::Duration interval =
+    StarvationInterval(aScheduler.mKinds.at(aName).mServiceTime.mMean, aLimit);
+  return std::max(share, mean / SecondsOf(interval));
 }
 
 double
--- a/src/libs/admission/scheduler.h
+++ b/src/libs/admission/scheduler.h
@@ -85,6 +85,8 @@
   HangState mHang;
   std::map<std::string, KindQueue> mKinds;
   std::string mKindCursor;
+  /// Of kinds.
+  StarvationTurn mStarvationTurn;
   std::map<uint64_t, RunningWork> mRunning;
 };
 
--- a/src/libs/admission/selection.cpp
+++ b/src/libs/admission/selection.cpp
@@ -84,57 +84,60 @@
     *std::min_element(ready.begin(), ready.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mKind->mWaitingSince < aRight.mKind->mWaitingSince;
     });
-  if (aNow - longest.mKind->mWaitingSince >= kStarvationBound) {
+  StarvationTurn& turn = aScheduler.mStarvationTurn;
+  if (IsStarvationTurn(turn, longest.mKind->mWaitingSince, aNow)) {
+    turn.mNext = aNow + StarvationInterval(longest.mKind->mServiceTime.mMean, aLimit);
     return longest;
   }
   const Tier tier =
     std::min_element(ready.begin(), ready.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mTier < aRight.mTier;
     })->mTier;
-  const KindChoice* urgent = nullptr;
   std::vector<const KindChoice*> choices;
   std::vector<DeficitEntry> entries;
   for (const KindChoice& choice : ready) {
     if (choice.mTier != tier) {
       continue;
     }
-    if (urgent == nullptr || Urgency(aPolicy, choice.mName) > Urgency(aPolicy, urgent->mName)) {
-      urgent = &choice;
-    }
     const double weight = KindWeight(aPolicy, choice.mName);
     choices.push_back(&choice);
     entries.push_back({ &choice.mName, &choice.mKind->mDeficit, weight });
   }
-  return IsByUrgency(tier) ? *urgent : *choices[PickByDeficit(entries, aScheduler.mKindCursor)];
+  if (!IsByUrgency(tier)) {
+    return *choices[PickByDeficit(entries, aScheduler.mKindCursor)];
+  }
+  const auto isLessUrgent = [&aPolicy](const KindChoice* aLeft, const KindChoice* aRight) {
+    return Urgency(aPolicy, aLeft->mName) < Urgency(aPolicy, aRight->mName);
+  };
+  return **std::max_element(choices.begin(), choices.end(), isLessUrgent);
 }
 
-void
-SelectClient(const Policy& aPolicy, Base::TimePoint aNow, Selection& aSelection)
+std::string
+SelectClientName(const Policy& aPolicy, KindQueue& aKind, size_t aLimit, Base::TimePoint aNow)
 {
   std::vector<DeficitEntry> guaranteed;
   std::vector<DeficitEntry> all;
-  ClientQueue* starved = nullptr;
-  for (auto& [name, client] : aSelection.mKind->mClients) {
+  const std::string* longest = nullptr;
+  Base::TimePoint waitingSince = aNow;
+  for (auto& [name, client] : aKind.mClients) {
     if (client.mItems.empty()) {
       continue;
     }
-    if (aNow - client.mWaitingSince >= kStarvationBound &&
-        (starved == nullptr || client.mWaitingSince < starved->mWaitingSince)) {
-      starved = &client;
-      aSelection.mClientName = name;
+    if (longest == nullptr || client.mWaitingSince < waitingSince) {
+      longest = &name;
+      waitingSince = client.mWaitingSince;
     }
-    const double weight = ClientWeight(aPolicy, name);
-    all.push_back({ &name, &client.mDeficit, weight });
+    all.push_back({ &name, &client.mDeficit, ClientWeight(aPolicy, name) });
     if (client.mGuarantee.mTokens > 0) {
       guaranteed.push_back(all.back());
     }
   }
-  if (starved == nullptr) {
-    const std::vector<DeficitEntry>& entries = guaranteed.empty() ? all : guaranteed;
-    aSelection.mClientName = *entries[PickByDeficit(entries, aSelection.mKind->mCursor)].mName;
+  if (longest != nullptr && IsStarvationTurn(aKind.mStarvationTurn, waitingSince, aNow)) {
+    aKind.mStarvationTurn.mNext = aNow + StarvationInterval(aKind.mServiceTime.mMean, aLimit);
+    return *longest;
   }
-  aSelection.mClient = &aSelection.mKind->mClients[aSelection.mClientName];
-  aSelection.mClientGuaranteed = aSelection.mClient->mGuarantee.mTokens > 0;
+  const std::vector<DeficitEntry>& entries = guaranteed.empty() ? all : guaranteed;
+  return *entries[PickByDeficit(entries, aKind.mCursor)].mName;
 }
 
 } // namespace
@@ -148,7 +151,10 @@
   selection.mKindName = choice.mName;
   selection.mKindGuaranteed = IsByUrgency(choice.mTier);
   if (selection.mKind != nullptr) {
-    SelectClient(aPolicy, aNow, selection);
+    KindQueue& kind = *selection.mKind;
+    selection.mClientName = SelectClientName(aPolicy, kind, aLimit, aNow);
+    selection.mClient = &kind.mClients[selection.mClientName];
+    selection.mClientGuaranteed = selection.mClient->mGuarantee.mTokens > 0;
   }
   return selection;
 }
--- a/src/libs/admission/workqueue.h
+++ b/src/libs/admission/workqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/servicetime.h"
+#include "admission/starvation.h"
 #include "admission/tokenbucket.h"
 #include "base/runtimeclock.h"
 
@@ -47,6 +48,8 @@
   TokenBucket mGuarantee;
   ServiceTime mServiceTime;
   Base::TimePoint mWaitingSince;
+  /// Of clients within this kind.
+  StarvationTurn mStarvationTurn;
   /// Last time that work of the kind was offered or ended.
   Base::TimePoint mLastActive;
 };
@@ -54,10 +57,6 @@
 /// Bound of queued work of one client in one kind at one upstream, whatever its deadlines are.
 constexpr size_t kMaxQueuedForClient = 512;
 
-/// A client or kind with queued work is served after this wait at the next free slot, whatever its
-/// share is. This bounds the wait of work without a share.
-constexpr Base::Duration kStarvationBound = std::chrono::seconds(5);
-
 void
 Push(KindQueue& aKind, const std::string& aClient, const WorkItem& aItem, Base::TimePoint aNow);
 
--- a/tests/auto/admission/tst_fairness.cpp
+++ b/tests/auto/admission/tst_fairness.cpp
@@ -189,3 +189,20 @@
   CHECK_TRUE(served[1].mDispatched >= 18);
   CHECK_TRUE(served[1].mDispatched <= 30);
 }
+
+// Guards against many clients without a share that together take a client's guarantee, each of them
+// by the rule against starvation.
+TEST(Fairness, StarvingClientsLeaveTheGuaranteeOfOthers)
+{
+  Admission::Policy policy;
+  policy.mKinds = { { "export", 1000, 0 } };
+  policy.mClients = { { "north", 700, 0 } };
+  std::vector<Stream> streams = { { "export", "north", 250ms, 400ms, 2s } };
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "guest-" + std::to_string(i);
+    policy.mClients.push_back({ name, 0, 0 });
+    streams.push_back({ "export", name, 1s, 400ms, 600s });
+  }
+  const std::vector<Served> served = Run(policy, streams, 40s);
+  CHECK_TRUE(served[0].mDispatched >= served[0].mOffered * 95 / 100);
+}
