--- a/src/tools/measure/floodrequests.cpp
+++ b/src/tools/measure/floodrequests.cpp
@@ -131,6 +131,10 @@
   Request& request = aState.mRequests[aId];
   const Base::TimePoint start = std::max(aState.mNow, aState.mHungUntil[request.mHost]);
   request.mStarted = aState.mNow;
+  if (IsMeasured(aState, request)) {
+    StreamResult& result = aState.mResult.mStreams[request.mStream];
+    result.mLongestWait = std::max(result.mLongestWait, aState.mNow - request.mSent);
+  }
   request.mDone = start + SlotTime(aState.mUpstreams[request.mHost], request.mService, aState.mNow);
   Schedule(aState, request.mDone, EventKind::Done, aId);
 }
@@ -176,10 +180,6 @@
   request.mState = RequestState::Dispatched;
   request.mFrontGeneration = aState.mFrontGenerations[aHost];
   aState.mDispatched[aHost].insert(aId);
-  if (IsMeasured(aState, request)) {
-    StreamResult& result = aState.mResult.mStreams[request.mStream];
-    result.mLongestWait = std::max(result.mLongestWait, aState.mNow - request.mSent);
-  }
   const Acceptance acceptance = Accept(aState.mUpstreams[aHost], aId);
   if (acceptance == Acceptance::Shed) {
     Fail(aState, aId, "shed", false);
--- a/src/tools/measure/floodrun.h
+++ b/src/tools/measure/floodrun.h
@@ -22,7 +22,7 @@
   /// Answered within the deadline.
   uint64_t mAnswered = 0;
   std::vector<double> mLatenciesMs;
-  /// Longest time from the request to its dispatch.
+  /// Longest time from the request to its start at the upstream.
   Base::Duration mLongestWait{ 0 };
 };
 
