--- a/src/libs/admission/queuelimit.cpp
+++ b/src/libs/admission/queuelimit.cpp
@@ -46,9 +46,11 @@
   const double own = KindWeight(aPolicy, aName);
   const double most = MaxRunning(aScheduler, aPolicy, aName, aLimit, Claim::Guaranteed, aNow);
   const double share = std::min(most, static_cast<double>(aLimit) * own / active);
-  // Without a share the kind is still served once in each kStarvationBound.
+  // Without a share the kind is still served by the rule against starvation.
   const double mean = SecondsOf(aScheduler.mKinds.at(aName).mServiceTime.mMean);
-  return std::max(share, mean / SecondsOf(kStarvationBound));
+  const Base::Duration interval =
+    StarvationInterval(aScheduler.mKinds.at(aName).mServiceTime.mMean, aLimit);
+  return std::max(share, mean / SecondsOf(interval));
 }
 
 double
@@ -113,9 +115,12 @@
     return std::nullopt;
   }
   const size_t limit = EffectiveLimit(aScheduler.mLimit, aNow);
-  const double slots = SlotsOfKind(aScheduler, aPolicy, aName.mKind, limit, aNow) *
-                       PartOfClient(kind, aPolicy, aName.mClient);
-  const double wait = static_cast<double>(queued) * SecondsOf(kind.mServiceTime.mMean) / slots;
+  const double mean = SecondsOf(kind.mServiceTime.mMean);
+  const double slots = SlotsOfKind(aScheduler, aPolicy, aName.mKind, limit, aNow);
+  const double part = PartOfClient(kind, aPolicy, aName.mClient);
+  // The client waits for its own work at its share, but never longer than for all work of the kind.
+  const double own = static_cast<double>(queued) / part;
+  const double wait = std::min(own, static_cast<double>(kind.mQueued)) * mean / slots;
   if (wait + SecondsOf(CautiousEstimate(kind.mServiceTime)) > SecondsOf(remaining)) {
     return RefusalReason::QueueFull;
   }
