Keep leases current in the fake cluster and measure placement again

Cause: a membership update that arrived late put the leases of all upstreams back by up to 5 s, which no renewal does. A trace showed it: packets were dropped for upstreams whose lease was running. Conclusion: the drops were a fault of the fake, not of the placement.

--- a/src/tools/measure/fakecluster.cpp
+++ b/src/tools/measure/fakecluster.cpp
@@ -39,19 +39,27 @@
   });
 }
 
-// Renewals reach all instances; only changes of state are delayed.
+// Renewals reach all instances in time; only changes of state are delayed.
+void
+CopyLeases(const Cluster& aCluster, FakeInstance& aInstance)
+{
+  for (const Membership::Upstream& upstream : aCluster.mUpstreams) {
+    for (Membership::Upstream& known : aInstance.mView.mUpstreams) {
+      if (known.mEndpoint == upstream.mEndpoint && known.mGeneration == upstream.mGeneration) {
+        known.mLeaseEnd = upstream.mLeaseEnd;
+      }
+    }
+  }
+}
+
 void
 RenewForever(Cluster& aCluster)
 {
   for (Membership::Upstream& upstream : aCluster.mUpstreams) {
     upstream.mLeaseEnd = aCluster.mNow + kLease;
-    for (auto& [id, instance] : aCluster.mInstances) {
-      for (Membership::Upstream& known : instance.mView.mUpstreams) {
-        if (known.mEndpoint == upstream.mEndpoint && known.mGeneration == upstream.mGeneration) {
-          known.mLeaseEnd = upstream.mLeaseEnd;
-        }
-      }
-    }
+  }
+  for (auto& [id, instance] : aCluster.mInstances) {
+    CopyLeases(aCluster, instance);
   }
   At(aCluster, aCluster.mNow + kRenewal, [&aCluster] { RenewForever(aCluster); });
 }
@@ -183,6 +191,7 @@
            found->second.mMembershipVersion = version;
            found->second.mView.mMembers = members;
            found->second.mView.mUpstreams = upstreams;
+           CopyLeases(aCluster, found->second);
            TickInstance(aCluster, found->second);
          }
        });
