Hold packets while a started instance gets its table

Cause: an instance that had just started dropped packets until it had a peer or the table. Held packets are now bounded by bytes, since their number alone allowed 512 MB of large datagrams.

--- a/src/libs/placement/decision.cpp
+++ b/src/libs/placement/decision.cpp
@@ -30,6 +30,14 @@
   return decision;
 }
 
+Decision
+Hold()
+{
+  Decision decision;
+  decision.mVerdict = Verdict::Hold;
+  return decision;
+}
+
 Decision
 Send(const Base::Endpoint& aUpstream)
 {
@@ -236,8 +244,8 @@
   }
   const uint64_t key = OwnerKey(aPacket.mFlow.mGeneration, aPacket.mSlot);
   const Membership::Member* owner = Membership::RendezvousMember(others, key);
-  return owner == nullptr || aPacket.mHops > 0 ? Drop(DropReason::NoTable)
-                                               : Forward(aPacket, owner->mId);
+  // Peers forward to an instance that has just started and whose table is on its way.
+  return owner == nullptr || aPacket.mHops > 0 ? Hold() : Forward(aPacket, owner->mId);
 }
 
 Decision
@@ -246,17 +254,14 @@
   switch (aContext.mRole.mState) {
     case RoleState::Ready:
       return DecideAsOwner(aContext);
-    case RoleState::Collecting: {
-      Decision decision;
-      decision.mVerdict = Verdict::Hold;
-      return decision;
-    }
+    case RoleState::Collecting:
+      return Hold();
     case RoleState::HandedOver:
       return DecideAsOther(aContext, aContext.mRole.mHandedTo);
     case RoleState::Remote:
       return DecideAsOther(aContext, aContext.mRole.mOwner);
   }
-  return Drop(DropReason::NoTable);
+  return Hold();
 }
 
 } // namespace
@@ -319,8 +324,6 @@
   switch (aReason) {
     case DropReason::None:
       return "none";
-    case DropReason::NoTable:
-      return "no_table";
     case DropReason::NoUpstream:
       return "no_upstream";
     case DropReason::UpstreamGone:
--- a/src/libs/placement/decision.h
+++ b/src/libs/placement/decision.h
@@ -25,7 +25,8 @@
 {
   SendToUpstream,
   ForwardToMember,
-  /// This instance becomes the owner of the slot soon; decide again after the next message or tick.
+  /// This instance gets the table or the records of the slot soon; decide again after the next
+  /// message or tick.
   Hold,
   Drop
 };
@@ -33,8 +34,6 @@
 enum class DropReason
 {
   None,
-  /// Neither this instance nor a peer that could be asked has a table.
-  NoTable,
   /// No upstream takes new flows.
   NoUpstream,
   /// The upstream of the flow is gone.
--- a/src/tools/entry/flowshards.cpp
+++ b/src/tools/entry/flowshards.cpp
@@ -11,12 +11,19 @@
 
 /// Bounds of docs/design.md for the records and for the cache of one instance.
 constexpr uint32_t kFlowsInInstance = 200000;
-/// Packets that a shard holds while slots change their owner. A hold lasts a few milliseconds if
-/// the previous owner answers.
-constexpr size_t kMaxHeld = 512;
+/// Bytes of packets that a shard holds while slots change their owner or the table is on its way, 4
+/// MB in all. A hold lasts a few milliseconds if the previous owner answers.
+constexpr size_t kMaxHeldBytes = 262144;
 /// Collecting ends after two timeouts of 500 ms at the latest.
 constexpr std::chrono::milliseconds kMaxHold{ 1500 };
 
+/// The packet's own bookkeeping counts as well, so that empty packets are bounded.
+size_t
+HeldBytes(absl::string_view aPayload)
+{
+  return aPayload.size() + sizeof(PendingPacket);
+}
+
 std::string
 DropCounter(const std::string& aReason)
 {
@@ -48,10 +55,8 @@
   , mCached(aMetrics.GaugeFor("flow_cache"))
   , mTrackedSlots(aMetrics.GaugeFor("tracked_slots"))
 {
-  for (const DropReason reason : { DropReason::NoTable,
-                                   DropReason::NoUpstream,
-                                   DropReason::UpstreamGone,
-                                   DropReason::TooManyHops }) {
+  for (const DropReason reason :
+       { DropReason::NoUpstream, DropReason::UpstreamGone, DropReason::TooManyHops }) {
     mDrops[reason] = &aMetrics.CounterFor(DropCounter(Placement::ReasonName(reason)));
   }
 }
@@ -126,11 +131,12 @@
 void
 FlowShards::Hold(LockedShard& aShard, const PendingPacket& aPending, absl::string_view aPayload)
 {
-  if (aShard.mHeld.size() >= kMaxHeld) {
+  if (aShard.mHeldBytes + HeldBytes(aPayload) > kMaxHeldBytes) {
     mCounters.mHeldFull.Add();
     return;
   }
   mCounters.mHeld.Add();
+  aShard.mHeldBytes += HeldBytes(aPayload);
   aShard.mHeld.push_back({ aPending, std::string(aPayload), Base::RuntimeClock::now() });
 }
 
@@ -152,6 +158,7 @@
     held.swap(aShard.mHeld);
     for (HeldPacket& entry : held) {
       if (now - entry.mSince > kMaxHold) {
+        aShard.mHeldBytes -= HeldBytes(entry.mPayload);
         mCounters.mHeldTooLong.Add();
         continue;
       }
@@ -160,6 +167,7 @@
       if (decision.mVerdict == Placement::Verdict::Hold) {
         aShard.mHeld.push_back(std::move(entry));
       } else {
+        aShard.mHeldBytes -= HeldBytes(entry.mPayload);
         ready.push_back({ std::move(entry), decision });
       }
     }
--- a/src/tools/entry/flowshards.h
+++ b/src/tools/entry/flowshards.h
@@ -85,6 +85,7 @@
     Placement::Shard mState;
     std::shared_ptr<const Membership::View> mView;
     std::deque<HeldPacket> mHeld;
+    size_t mHeldBytes = 0;
   };
   struct Counters
   {
--- a/tests/auto/placement/tst_decision.cpp
+++ b/tests/auto/placement/tst_decision.cpp
@@ -180,6 +180,22 @@
   CHECK_TRUE(Placement::DecidePacket(next, packet, nextView, mNow).mUpstream == kNew);
 }
 
+// Guards against packets that are lost while an instance that has just started gets its table.
+TEST(Decision, HoldsPacketsUntilTheTableArrives)
+{
+  mShard.mServices.clear();
+  CHECK_TRUE(Decide(1, false).mVerdict == Verdict::Hold);
+  AddMember(2);
+  CHECK_TRUE(Decide(1, false).mVerdict == Verdict::ForwardToMember);
+  Packet forwarded;
+  forwarded.mFlow = { kGeneration, { 1, 1 } };
+  forwarded.mSlot = kSlot;
+  forwarded.mHops = 1;
+  CHECK_TRUE(Placement::DecidePacket(mShard, forwarded, mView, mNow).mVerdict == Verdict::Hold);
+  Update();
+  CHECK_TRUE(Placement::DecidePacket(mShard, forwarded, mView, mNow).mVerdict != Verdict::Drop);
+}
+
 // Guards against packets that circle between instances whose views differ.
 TEST(Decision, DropsPacketsThatWereForwardedTooOften)
 {
