--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -25,6 +25,8 @@
       return Event::RefuseQueueFull;
     case Admission::RefusalReason::DeadlineTooShort:
       return Event::RefuseDeadlineTooShort;
+    case Admission::RefusalReason::UpstreamHung:
+      return Event::RefuseUpstreamHung;
     case Admission::RefusalReason::DeadlinePassed:
       break;
   }
@@ -278,11 +280,11 @@
   Record(state, aKey, RequestState::Answered, Event::None);
   EndCall(aWork, aKey, aNumber, Admission::WorkOutcome::Canceled);
   const Settings& settings = aWork.mContext.mSettings;
-  const size_t used = std::min(settings.mMaxAnswerBytes, state.mAssemblyBytes);
+  const size_t used = std::min(aWork.mContext.mLimits.mMaxAnswerBytes, state.mAssemblyBytes);
   StoreAnswer(state.mAnswers,
               aKey,
               std::move(pieces),
-              settings.mMaxAnswerBytes - used,
+              aWork.mContext.mLimits.mMaxAnswerBytes - used,
               aWork.mContext.mNow + settings.mAnswerLife);
 }
 
--- a/src/tools/entry/announceservice.h
+++ b/src/tools/entry/announceservice.h
@@ -2,7 +2,10 @@
 
 #include "absl/status/status.h"
 #include "base/endpoint.h"
+#include "base/snapshot.h"
+#include "config/serviceindex.h"
 #include "membershipagent.h"
+#include "metrics/registry.h"
 
 #include "announce.grpc.pb.h"
 
@@ -16,7 +19,9 @@
 class AnnounceService final : public lw::announce::Announcer::Service
 {
 public:
-  explicit AnnounceService(MembershipAgent& aAgent);
+  AnnounceService(MembershipAgent& aAgent,
+                  const Base::Snapshot<Config::ServiceIndex>& aServices,
+                  Metrics::Registry& aMetrics);
 
   /// Starts to listen.
   /// \return Unavailable if the address can't be bound.
@@ -30,6 +35,12 @@
 
 private:
   MembershipAgent& mAgent;
+  const Base::Snapshot<Config::ServiceIndex>& mServices;
+  Metrics::Counter& mAccepted;
+  Metrics::Counter& mInvalid;
+  Metrics::Counter& mUnavailable;
+  Metrics::Counter& mStale;
+  Metrics::Counter& mAddressInUse;
   std::unique_ptr<grpc::Server> mServer;
 };
 
--- a/src/tools/entry/membershipagent.cpp
+++ b/src/tools/entry/membershipagent.cpp
@@ -1,29 +1,60 @@
 #include "membershipagent.h"
 
-#include "absl/strings/str_cat.h"
+#include "membership/protocol.h"
+#include "membership/viewbuilder.h"
+
+#include "membership.pb.h"
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Entry {
 
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
-
-constexpr milliseconds kHeartbeatInterval{ 500 };
-constexpr milliseconds kMemberTimeout{ 3000 };
-constexpr milliseconds kLease{ 5000 };
-/// Lease and a margin of 1 s, so that older records of the address have run out everywhere.
-constexpr milliseconds kHoldBeforeUse{ 6000 };
-
-uint32_t
-AgeInMs(Base::TimePoint aSince, Base::TimePoint aNow)
+constexpr std::chrono::milliseconds kTickInterval{ 50 };
+/// Views without a change are published again after this time, because their leases go on. A lease
+/// lasts at least 3.5 s after each beat of its holder.
+constexpr std::chrono::milliseconds kPublishInterval{ 500 };
+
+using Event = std::pair<const char*, uint64_t Membership::Counts::*>;
+
+constexpr Event kEvents[] = {
+  { "membership_probes_total", &Membership::Counts::mProbes },
+  { "membership_indirect_probes_total", &Membership::Counts::mIndirectProbes },
+  { "membership_suspicions_total", &Membership::Counts::mSuspicions },
+  { "membership_deaths_total", &Membership::Counts::mDeaths },
+  { "membership_refutations_total", &Membership::Counts::mRefutations },
+  { "membership_pulls_total", &Membership::Counts::mPulls },
+  { "membership_lease_takeovers_total", &Membership::Counts::mTakeovers },
+  { "membership_leases_overdue_total", &Membership::Counts::mOverdue },
+  { "membership_leases_expired_total", &Membership::Counts::mExpired },
+  { "membership_stale_announcements_total", &Membership::Counts::mStaleAnnouncements },
+  { "membership_refused_addresses_total", &Membership::Counts::mRefusedAddresses },
+  { "membership_forwarded_renewals_total", &Membership::Counts::mForwardedRenewals },
+  { "membership_delayed_datagrams_total", &Membership::Counts::mDelayedDatagrams },
+  { "membership_rejected_messages_total", &Membership::Counts::mRejectedMessages },
+};
+
+/// Selects the next member in the order of ids, of the own availability zone if there is one.
+Base::InstanceId
+SelectSuccessor(const Membership::View& aView)
 {
-  return static_cast<uint32_t>(duration_cast<milliseconds>(aNow - aSince).count());
+  const Membership::Member* best = nullptr;
+  const auto rank = [&aView](const Membership::Member& aMember) {
+    return std::make_tuple(
+      aMember.mAvailabilityZone != aView.mAvailabilityZone, aMember.mId < aView.mSelf, aMember.mId);
+  };
+  for (const Membership::Member& member : aView.mMembers) {
+    const bool candidate =
+      member.mId != aView.mSelf && member.mState == Membership::MemberState::Alive;
+    if (candidate && (best == nullptr || rank(member) < rank(*best))) {
+      best = &member;
+    }
+  }
+  return best != nullptr ? best->mId : Base::InstanceId();
 }
 
 } // namespace
@@ -32,20 +63,31 @@
                                  const EntrySettings& aSettings,
                                  Base::Incarnation aIncarnation,
                                  PeerTransport& aTransport,
-                                 const Base::Snapshot<Config::ServiceIndex>& aServices)
-  : mSettings(aSettings)
-  , mTransport(aTransport)
+                                 const Base::Snapshot<Config::ServiceIndex>& aServices,
+                                 Metrics::Registry& aMetrics)
+  : mTransport(aTransport)
   , mServices(aServices)
-  , mIncarnation(aIncarnation)
   , mTimer(aContext)
-  , mView(std::make_shared<Membership::View>())
+  , mSentMessages(aMetrics.CounterFor("membership_sent_messages_total"))
+  , mSentBytes(aMetrics.CounterFor("membership_sent_bytes_total"))
+  , mMalformed(aMetrics.CounterFor("membership_malformed_total"))
+  , mMembers(aMetrics.GaugeFor("membership_members"))
+  , mUpstreams(aMetrics.GaugeFor("membership_upstreams"))
+  , mRandom{ aIncarnation.mValue }
+  , mState(Membership::Start({ aSettings.mInstance,
+                               aIncarnation,
+                               aSettings.mPeerListen,
+                               aSettings.mRegion,
+                               aSettings.mAvailabilityZone },
+                             Base::RuntimeClock::now(),
+                             mRandom))
+  , mView(
+      std::make_shared<Membership::View>(Membership::BuildView(mState, Base::RuntimeClock::now())))
 {
-  Membership::Member self;
-  self.mId = aSettings.mInstance;
-  self.mAvailabilityZone = aSettings.mAvailabilityZone;
-  self.mIncarnation = aIncarnation;
-  self.mPeerEndpoint = aSettings.mPeerListen;
-  mMembers[self.mId] = { self, Base::RuntimeClock::now() };
+  mSettings.mSeeds = aSettings.mSeeds;
+  for (const auto& [name, source] : kEvents) {
+    mEvents.push_back({ source, aMetrics.CounterFor(name) });
+  }
   mTransport.SetHandler(lw::peer::MEMBERSHIP,
                         [this](const PeerSender& aSender, absl::string_view aPayload) {
                           HandlePeer(aSender, aPayload);
@@ -63,11 +105,13 @@
 {
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    Expire();
-    SendHeartbeats();
-    Publish();
+    const Base::TimePoint now = Base::RuntimeClock::now();
+    FollowConfiguration(now);
+    Send(Membership::Tick(mState, mSettings, now, mRandom));
+    PublishIfDue(now);
+    UpdateCounters();
   }
-  mTimer.expires_after(kHeartbeatInterval);
+  mTimer.expires_after(kTickInterval);
   mTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       Tick();
@@ -76,171 +120,100 @@
 }
 
 void
-MembershipAgent::Leave()
+MembershipAgent::FollowConfiguration(Base::TimePoint aNow)
 {
-  const std::lock_guard<std::mutex> lock(mMutex);
-  mLeaving = true;
-  mMembers[mSettings.mInstance].mMember.mState = Membership::MemberState::Leaving;
-  SendHeartbeats();
-  Publish();
+  const std::shared_ptr<const Config::ServiceIndex> services = mServices.Load();
+  if (services->mVersion == mFollowedVersion) {
+    return;
+  }
+  mFollowedVersion = services->mVersion;
+  Membership::SetVersionInForce(mState, services->mVersion);
+  std::set<Base::ServiceGeneration> generations;
+  for (const auto& [name, service] : services->mByName) {
+    generations.insert(service->mGeneration);
+  }
+  Membership::KeepServices(mState, generations, aNow);
 }
 
 void
-MembershipAgent::SendHeartbeats()
+MembershipAgent::Leave()
 {
+  const std::lock_guard<std::mutex> lock(mMutex);
   const Base::TimePoint now = Base::RuntimeClock::now();
-  lw::membership::Heartbeat heartbeat;
-  heartbeat.set_region(mSettings.mRegion);
-  heartbeat.set_availability_zone(mSettings.mAvailabilityZone);
-  heartbeat.set_leaving(mLeaving);
-  heartbeat.set_version_in_force(mServices.Load()->mVersion.mValue);
-  for (const auto& [endpoint, known] : mUpstreams) {
-    lw::membership::UpstreamRecord* record = heartbeat.add_upstreams();
-    *record->mutable_announcement() = known.mAnnouncement;
-    record->set_availability_zone(known.mUpstream.mAvailabilityZone);
-    record->set_generation(known.mUpstream.mGeneration.mValue);
-    record->set_age_ms(AgeInMs(known.mRenewed, now));
-    record->set_known_ms(AgeInMs(known.mFirstKnown, now));
-  }
-  std::set<Base::Endpoint> targets(mSettings.mSeeds.begin(), mSettings.mSeeds.end());
-  for (const auto& [id, known] : mMembers) {
-    targets.insert(known.mMember.mPeerEndpoint);
-  }
-  targets.erase(mSettings.mPeerListen);
-  const std::string payload = heartbeat.SerializeAsString();
-  for (const Base::Endpoint& target : targets) {
-    mTransport.Send(target, lw::peer::MEMBERSHIP, payload);
-  }
+  const Base::InstanceId successor = SelectSuccessor(Membership::BuildView(mState, now));
+  Membership::BeginLeave(mState, successor);
+  PublishIfDue(now);
+  LOG(INFO) << "[membership] Leaving; successor is instance " << successor << ".";
 }
 
 void
-MembershipAgent::HandlePeer(const PeerSender& aSender, absl::string_view aPayload)
+MembershipAgent::FinishLeave()
 {
-  lw::membership::Heartbeat heartbeat;
-  if (!heartbeat.ParseFromArray(aPayload.data(), static_cast<int>(aPayload.size())) ||
-      heartbeat.region() != mSettings.mRegion || aSender.mId == mSettings.mInstance) {
-    return;
-  }
   const std::lock_guard<std::mutex> lock(mMutex);
-  Membership::Member member;
-  member.mId = aSender.mId;
-  member.mAvailabilityZone = heartbeat.availability_zone();
-  member.mIncarnation = aSender.mIncarnation;
-  member.mPeerEndpoint = aSender.mEndpoint;
-  member.mState =
-    heartbeat.leaving() ? Membership::MemberState::Leaving : Membership::MemberState::Alive;
-  member.mVersionInForce = Base::ConfigVersion(heartbeat.version_in_force());
-  mMembers[member.mId] = { member, Base::RuntimeClock::now() };
-  for (const lw::membership::UpstreamRecord& record : heartbeat.upstreams()) {
-    Record(record).IgnoreError();
-  }
+  Send(Membership::FinishLeave(mState, Base::RuntimeClock::now(), mRandom));
+  UpdateCounters();
 }
 
-absl::StatusOr<lw::announce::AnnounceReply>
-MembershipAgent::Announce(const lw::announce::AnnounceRequest& aRequest)
+Membership::AnnounceResult
+MembershipAgent::Announce(const Membership::Announcement& aAnnouncement)
 {
-  const std::shared_ptr<const Config::ServiceIndex> services = mServices.Load();
-  const auto service = services->mByName.find(aRequest.service());
-  if (service == services->mByName.end()) {
-    return absl::InvalidArgumentError(
-      absl::StrCat("service \"", aRequest.service(), "\" does not exist"));
-  }
-  lw::membership::UpstreamRecord record;
-  *record.mutable_announcement() = aRequest;
-  record.set_availability_zone(mSettings.mAvailabilityZone);
-  record.set_generation(service->second->mGeneration.mValue);
   const std::lock_guard<std::mutex> lock(mMutex);
-  const absl::Status status = Record(record);
-  if (!status.ok()) {
-    return status;
-  }
-  Publish();
-  lw::announce::AnnounceReply reply;
-  reply.set_lease_ms(static_cast<uint32_t>(kLease.count()));
-  return reply;
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  Membership::AnnounceResult result = Membership::Announce(mState, mSettings, aAnnouncement, now);
+  Send(result.mOutbox);
+  PublishIfDue(now);
+  return result;
 }
 
-absl::Status
-MembershipAgent::Record(const lw::membership::UpstreamRecord& aRecord)
+void
+MembershipAgent::HandlePeer(const PeerSender& aSender, absl::string_view aPayload)
 {
-  const lw::announce::AnnounceRequest& announcement = aRecord.announcement();
-  const absl::StatusOr<Base::Endpoint> endpoint = Base::ParseEndpoint(announcement.address());
-  if (!endpoint.ok()) {
-    return endpoint.status();
+  lw::membership::Message message;
+  if (!message.ParseFromArray(aPayload.data(), static_cast<int>(aPayload.size()))) {
+    mMalformed.Add();
+    return;
   }
+  const std::lock_guard<std::mutex> lock(mMutex);
   const Base::TimePoint now = Base::RuntimeClock::now();
-  const Base::TimePoint renewed = now - milliseconds(aRecord.age_ms());
-  if (renewed + kLease <= now) {
-    return absl::DeadlineExceededError("the lease has run out");
-  }
-  const auto known = mUpstreams.find(*endpoint);
-  const bool isKnown = known != mUpstreams.end();
-  if (isKnown && known->second.mAnnouncement.service() != announcement.service()) {
-    return absl::AlreadyExistsError(absl::StrCat("address ",
-                                                 announcement.address(),
-                                                 " holds a lease in service \"",
-                                                 known->second.mAnnouncement.service(),
-                                                 "\""));
-  }
-  if (isKnown && std::make_pair(announcement.start_id(), announcement.sequence()) <
-                   std::make_pair(known->second.mAnnouncement.start_id(),
-                                  known->second.mAnnouncement.sequence())) {
-    return absl::OkStatus();
-  }
-  Base::TimePoint firstKnown = now - milliseconds(aRecord.known_ms());
-  if (isKnown) {
-    firstKnown = std::min(firstKnown, known->second.mFirstKnown);
-  }
-  KnownUpstream upstream;
-  upstream.mAnnouncement = announcement;
-  upstream.mRenewed = renewed;
-  upstream.mFirstKnown = firstKnown;
-  upstream.mUpstream.mEndpoint = *endpoint;
-  upstream.mUpstream.mAvailabilityZone = aRecord.availability_zone();
-  upstream.mUpstream.mService = announcement.service();
-  upstream.mUpstream.mGeneration = Base::ServiceGeneration(aRecord.generation());
-  upstream.mUpstream.mStartId = announcement.start_id();
-  upstream.mUpstream.mState = announcement.state() == lw::announce::ACTIVE
-                                ? Membership::UpstreamState::Active
-                                : Membership::UpstreamState::Draining;
-  upstream.mUpstream.mSlots = std::max<uint32_t>(1, announcement.slots());
-  upstream.mUpstream.mLoad = announcement.load();
-  upstream.mUpstream.mUsableFrom = firstKnown + kHoldBeforeUse;
-  upstream.mUpstream.mLeaseEnd = renewed + kLease;
-  mUpstreams[*endpoint] = upstream;
-  return absl::OkStatus();
+  const Membership::Sender sender{ aSender.mId, aSender.mIncarnation, aSender.mEndpoint };
+  Send(Membership::HandleMessage(mState, mSettings, sender, message, now));
+  PublishIfDue(now);
 }
 
 void
-MembershipAgent::Expire()
+MembershipAgent::Send(const Membership::Outbox& aOutbox)
 {
-  const Base::TimePoint now = Base::RuntimeClock::now();
-  for (auto known = mMembers.begin(); known != mMembers.end();) {
-    const bool isSelf = known->first == mSettings.mInstance;
-    const bool isSilent = now - known->second.mLastHeard > kMemberTimeout;
-    known = !isSelf && isSilent ? mMembers.erase(known) : std::next(known);
-  }
-  for (auto known = mUpstreams.begin(); known != mUpstreams.end();) {
-    known = known->second.mUpstream.mLeaseEnd <= now ? mUpstreams.erase(known) : std::next(known);
+  for (const Membership::Outgoing& outgoing : aOutbox) {
+    const std::string payload = outgoing.mMessage.SerializeAsString();
+    mTransport.Send(outgoing.mEndpoint, lw::peer::MEMBERSHIP, payload);
+    mSentMessages.Add();
+    mSentBytes.Add(payload.size());
   }
 }
 
 void
-MembershipAgent::Publish()
+MembershipAgent::PublishIfDue(Base::TimePoint aNow)
 {
-  auto view = std::make_shared<Membership::View>();
-  view->mSelf = mSettings.mInstance;
-  view->mAvailabilityZone = mSettings.mAvailabilityZone;
-  view->mIncarnation = mIncarnation;
-  for (const auto& [id, known] : mMembers) {
-    view->mMembers.push_back(known.mMember);
-  }
-  for (const auto& [endpoint, known] : mUpstreams) {
-    if (known.mAnnouncement.state() != lw::announce::LEFT) {
-      view->mUpstreams.push_back(known.mUpstream);
-    }
+  const bool changed = mState.mRevision != mPublishedRevision;
+  if (!changed && aNow - mPublishedAt < kPublishInterval) {
+    return;
   }
+  mPublishedRevision = mState.mRevision;
+  mPublishedAt = aNow;
+  auto view = std::make_shared<Membership::View>(Membership::BuildView(mState, aNow));
+  mMembers.Set(static_cast<int64_t>(view->mMembers.size()));
+  mUpstreams.Set(static_cast<int64_t>(view->mUpstreams.size()));
   mView.Publish(std::move(view));
 }
 
+void
+MembershipAgent::UpdateCounters()
+{
+  for (const CountedEvent& event : mEvents) {
+    const uint64_t counted = mState.mCounts.*event.mSource;
+    event.mCounter.Add(counted - mCounted.*event.mSource);
+  }
+  mCounted = mState.mCounts;
+}
+
 } // namespace Entry
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,3 +1,6 @@
+#include "measure/floodmeasure.h"
+#include "measure/membershipmeasure.h"
+#include "measure/requestsmeasure.h"
 #include "measure/subcommands.h"
 #include "program/startup.h"
 
@@ -6,6 +9,7 @@
 #include <iostream>
 
 ABSL_FLAG(uint64_t, seed, 1, "seed of the random source");
+ABSL_FLAG(bool, with_settings, false, "flood: read load and length_factor from --settings");
 ABSL_FLAG(std::string, format, "table", "output format: table or json");
 
 namespace {
@@ -13,13 +17,47 @@
 struct Subcommand
 {
   const char* mName;
-  Measure::Report (*mRun)(uint64_t aSeed);
+  /// \return the exit code.
+  int (*mRun)(uint64_t aSeed, bool aJson);
   const char* mHelp;
 };
 
+int
+RunPlacement(uint64_t aSeed, bool aJson)
+{
+  const Measure::Report report = Measure::MeasurePlacement(aSeed);
+  if (aJson) {
+    Measure::PrintJson(report, std::cout);
+  } else {
+    Measure::PrintTable(report, std::cout);
+  }
+  return Program::kExitOk;
+}
+
+/// Reads the experiment's settings from --settings, if the flag is given.
+int
+RunFlood(uint64_t aSeed, bool aJson)
+{
+  Measure::FloodSettings settings;
+  if (absl::GetFlag(FLAGS_with_settings)) {
+    const Program::Startup startup = Program::ReadSettings([&](Settings::Reader& aReader) {
+      settings.mLoad = aReader.NumberOr("load", 0.01, 1, settings.mLoad);
+      settings.mLengthFactor = aReader.NumberOr("length_factor", 0.01, 10, settings.mLengthFactor);
+      return aReader.Finish();
+    });
+    if (startup.mAction == Program::StartAction::Exit) {
+      return startup.mExitCode;
+    }
+  }
+  return Measure::RunFloodMeasure(aSeed, aJson, settings);
+}
+
 // Sorted by name, one line each.
 constexpr Subcommand kSubcommands[] = {
-  { "placement", Measure::MeasurePlacement, "broken flows, time, memory, imbalance" },
+  { "flood", RunFlood, "goodput and latency of other work during floods" },
+  { "membership", Measure::RunMembershipMeasure, "control traffic, time, memory, spread" },
+  { "placement", RunPlacement, "broken flows, time, memory, imbalance" },
+  { "requests", RunRequestsMeasure, "memory, time, outcomes of a randomized run" },
 };
 
 std::string
@@ -47,13 +85,7 @@
     if (arguments.front() != subcommand.mName) {
       continue;
     }
-    const Measure::Report report = subcommand.mRun(absl::GetFlag(FLAGS_seed));
-    if (format == "json") {
-      Measure::PrintJson(report, std::cout);
-    } else {
-      Measure::PrintTable(report, std::cout);
-    }
-    return Program::kExitOk;
+    return subcommand.mRun(absl::GetFlag(FLAGS_seed), format == "json");
   }
   std::cerr << "unknown subcommand \"" << arguments.front() << "\"\n" << Usage();
   return Program::kExitFailure;
