Prepare the ticket key once and move the measurements into lw-measure

Cause: OpenSSL prepared the key for each ticket; lw-measure exists now, so that the own binary is not needed. Conclusion: RunRequestsMeasure is now the subcommand requests of lw-measure.

--- a/src/libs/requests/messages.cpp
+++ b/src/libs/requests/messages.cpp
@@ -10,7 +10,7 @@
 
 /// Opens the ticket of a packet that is already in the message.
 absl::Status
-CheckTicket(absl::string_view aKey, CallerMessage& aMessage)
+CheckTicket(const TicketKey& aKey, CallerMessage& aMessage)
 {
   const lw::caller::CallerPacket& packet = aMessage.mPacket;
   if (packet.has_open()) {
@@ -36,7 +36,7 @@
 }
 
 absl::Status
-TakeForwarded(absl::string_view aKey, PeerMessage& aMessage)
+TakeForwarded(const TicketKey& aKey, PeerMessage& aMessage)
 {
   lw::requestpeer::Forwarded& forwarded = *aMessage.mPacket.mutable_forwarded();
   if (!IsAddress(forwarded.caller()) || !IsAddress(forwarded.service())) {
@@ -64,7 +64,7 @@
 } // namespace
 
 absl::StatusOr<CallerMessage>
-DecodeCallerPacket(absl::string_view aKey,
+DecodeCallerPacket(const TicketKey& aKey,
                    const FlowAddresses& aAddresses,
                    absl::string_view aPayload)
 {
@@ -81,7 +81,7 @@
 }
 
 absl::StatusOr<PeerMessage>
-DecodePeerPayload(absl::string_view aKey, absl::string_view aPayload)
+DecodePeerPayload(const TicketKey& aKey, absl::string_view aPayload)
 {
   using lw::requestpeer::RequestPeerPacket;
   PeerMessage message;
--- a/src/libs/requests/messages.h
+++ b/src/libs/requests/messages.h
@@ -26,7 +26,7 @@
 /// \return the message, InvalidArgument if it is malformed, or PermissionDenied if the ticket is
 /// forged or damaged.
 absl::StatusOr<CallerMessage>
-DecodeCallerPacket(absl::string_view aKey,
+DecodeCallerPacket(const TicketKey& aKey,
                    const FlowAddresses& aAddresses,
                    absl::string_view aPayload);
 
@@ -43,7 +43,7 @@
 /// Decodes a payload of the channel REQUESTS.
 /// \return as DecodeCallerPacket.
 absl::StatusOr<PeerMessage>
-DecodePeerPayload(absl::string_view aKey, absl::string_view aPayload);
+DecodePeerPayload(const TicketKey& aKey, absl::string_view aPayload);
 
 /// \return the event that counts a packet that could not be decoded.
 Event
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -32,7 +32,7 @@
 struct Settings
 {
   /// Key of the region for tickets, the same on all its instances.
-  std::string mTicketKey;
+  TicketKey mTicketKey;
   uint32_t mRetryPermille = 100;
   Base::Duration mFlowIdle = std::chrono::minutes(10);
   Base::Duration mAnswerLife = std::chrono::seconds(10);
--- a/src/libs/requests/ticket.cpp
+++ b/src/libs/requests/ticket.cpp
@@ -1,9 +1,12 @@
 #include "requests/ticket.h"
 
+#include <glog/logging.h>
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
+#include <array>
 #include <tuple>
 
 namespace Requests {
@@ -42,25 +45,48 @@
 }
 
 std::string
-Code(absl::string_view aKey, absl::string_view aBody, const FlowAddresses& aAddresses)
+Code(const TicketKey& aKey, absl::string_view aBody, const FlowAddresses& aAddresses)
 {
   std::string covered(aBody);
   AppendBigEndian(Base::Pack(aAddresses.mCaller), sizeof(uint64_t), covered);
   AppendBigEndian(Base::Pack(aAddresses.mService), sizeof(uint64_t), covered);
-  unsigned char digest[EVP_MAX_MD_SIZE] = {};
-  unsigned int length = 0;
-  HMAC(EVP_sha256(),
-       aKey.data(),
-       static_cast<int>(aKey.size()),
-       reinterpret_cast<const unsigned char*>(covered.data()),
-       covered.size(),
-       digest,
-       &length);
-  return std::string(reinterpret_cast<const char*>(digest), kCodeBytes);
+  const std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)> context(
+    EVP_MAC_CTX_dup(aKey.mPrepared.get()), &EVP_MAC_CTX_free);
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  size_t length = 0;
+  const bool isMade = context != nullptr &&
+                      EVP_MAC_update(context.get(),
+                                     reinterpret_cast<const unsigned char*>(covered.data()),
+                                     covered.size()) == 1 &&
+                      EVP_MAC_final(context.get(), digest.data(), &length, digest.size()) == 1;
+  // A code of zeros would let forged tickets pass.
+  CHECK(isMade && length >= kCodeBytes) << "[requests] OpenSSL cannot compute HMAC-SHA256.";
+  return std::string(reinterpret_cast<const char*>(digest.data()), kCodeBytes);
 }
 
 } // namespace
 
+TicketKey
+MakeTicketKey(absl::string_view aSecret)
+{
+  EVP_MAC* algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  EVP_MAC_CTX* context = EVP_MAC_CTX_new(algorithm);
+  EVP_MAC_free(algorithm);
+  char digest[] = "SHA256";
+  const OSSL_PARAM parameters[] = {
+    OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest, 0), OSSL_PARAM_construct_end()
+  };
+  const bool isReady =
+    context != nullptr && EVP_MAC_init(context,
+                                       reinterpret_cast<const unsigned char*>(aSecret.data()),
+                                       aSecret.size(),
+                                       parameters) == 1;
+  CHECK(isReady) << "[requests] OpenSSL has no HMAC-SHA256.";
+  return { std::shared_ptr<const EVP_MAC_CTX>(context, [](const EVP_MAC_CTX* aContext) {
+    EVP_MAC_CTX_free(const_cast<EVP_MAC_CTX*>(aContext));
+  }) };
+}
+
 bool
 IsSameRun(const Run& aLeft, const Run& aRight)
 {
@@ -76,7 +102,7 @@
 }
 
 std::string
-SealTicket(absl::string_view aKey, const Ticket& aTicket, const FlowAddresses& aAddresses)
+SealTicket(const TicketKey& aKey, const Ticket& aTicket, const FlowAddresses& aAddresses)
 {
   std::string sealed;
   sealed.reserve(kBodyBytes + kCodeBytes);
@@ -92,7 +118,7 @@
 }
 
 absl::StatusOr<Ticket>
-OpenTicket(absl::string_view aKey, absl::string_view aSealed, const FlowAddresses& aAddresses)
+OpenTicket(const TicketKey& aKey, absl::string_view aSealed, const FlowAddresses& aAddresses)
 {
   if (aSealed.size() != kBodyBytes + kCodeBytes || aSealed[0] != kFormat) {
     return absl::InvalidArgumentError("ticket has a wrong length or format");
--- a/src/libs/requests/ticket.h
+++ b/src/libs/requests/ticket.h
@@ -5,10 +5,25 @@
 #include "base/ids.h"
 
 #include "absl/strings/string_view.h"
+#include <memory>
 #include <string>
 
+struct evp_mac_ctx_st;
+
 namespace Requests {
 
+/// Key of the region for tickets, prepared once because OpenSSL takes longer to prepare a key than
+/// to use it. Copies share it, and several threads may use it at once.
+struct TicketKey
+{
+  std::shared_ptr<const evp_mac_ctx_st> mPrepared;
+};
+
+/// Prepares a key.
+/// \param aSecret may have any length.
+TicketKey
+MakeTicketKey(absl::string_view aSecret);
+
 /// One run of an entry instance.
 struct Run
 {
@@ -45,11 +60,11 @@
 /// are covered so that a copied ticket is of no use to another caller or service. \param aKey is
 /// the key of the region.
 std::string
-SealTicket(absl::string_view aKey, const Ticket& aTicket, const FlowAddresses& aAddresses);
+SealTicket(const TicketKey& aKey, const Ticket& aTicket, const FlowAddresses& aAddresses);
 
 /// Checks and decodes a ticket. The code is compared in constant time.
 /// \return the ticket, or InvalidArgument if it is damaged, forged or of other addresses.
 absl::StatusOr<Ticket>
-OpenTicket(absl::string_view aKey, absl::string_view aSealed, const FlowAddresses& aAddresses);
+OpenTicket(const TicketKey& aKey, absl::string_view aSealed, const FlowAddresses& aAddresses);
 
 } // namespace Requests
--- a/src/tools/entry/requestpath.cpp
+++ b/src/tools/entry/requestpath.cpp
@@ -60,7 +60,7 @@
   , mPeerGone(aMetrics.CounterFor("lw_request_drops_total{reason=\"peer_gone\"}"))
   , mOpenFlows(aMetrics.GaugeFor("lw_request_flows"))
 {
-  mSettings.mTicketKey = aSettings.mRegionKey;
+  mSettings.mTicketKey = Requests::MakeTicketKey(aSettings.mRegionKey);
   mCounters.push_back(nullptr);
   for (size_t i = 1; i < static_cast<size_t>(Requests::Event::Count); ++i) {
     const char* name = Requests::CounterName(static_cast<Requests::Event>(i));
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -20,6 +20,7 @@
 // Sorted by name, one line each.
 constexpr Subcommand kSubcommands[] = {
   { "placement", Measure::MeasurePlacement, "broken flows, time, memory, imbalance" },
+  { "requests", Measure::MeasureRequests, "memory, time, outcomes under faults" },
 };
 
 std::string
--- a/src/tools/measure/requestsfakes.cpp
+++ b/src/tools/measure/requestsfakes.cpp
@@ -150,7 +150,7 @@
   World world;
   world.mOptions = aOptions;
   world.mNetwork.mRandom.mState = aOptions.mSeed;
-  world.mSettings.mTicketKey = "key of the region";
+  world.mSettings.mTicketKey = Requests::MakeTicketKey("key of the region");
   AddService(world);
   AddParties(world);
   for (const auto& instance : world.mInstances) {
--- a/src/tools/measure/requestsmeasure.cpp
+++ b/src/tools/measure/requestsmeasure.cpp
@@ -1,24 +1,20 @@
-#include "measure/requestsmeasure.h"
-
 #include "measure/requestsfakes.h"
+#include "measure/subcommands.h"
 #include "requests/dispatcher.h"
 
 #include "caller.pb.h"
 #include "upstream.pb.h"
 
-#include <nlohmann/json.hpp>
-
 #include <malloc.h>
 
 #include <chrono>
-#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace {
+namespace Measure {
 
-using nlohmann::json;
+namespace {
 
 constexpr size_t kFlows = 20000;
 constexpr size_t kQueued = 20000;
@@ -46,7 +42,7 @@
   auto bench = std::make_unique<Bench>();
   const Requests::Run self{ Base::InstanceId(1), Base::Incarnation(uint64_t{ 7 } << 32U) };
   bench->mState = Requests::MakeState(self, 0);
-  bench->mSettings.mTicketKey = "0123456789abcdef0123456789abcdef";
+  bench->mSettings.mTicketKey = Requests::MakeTicketKey("0123456789abcdef0123456789abcdef");
   auto service = std::make_shared<Config::ServiceView>();
   service->mName = "counter";
   service->mAddress = kService;
@@ -121,6 +117,12 @@
   return Requests::HandleUpstreamPacket(aBench.mState, ContextOf(aBench), kUpstream, packet);
 }
 
+void
+AddRow(Section& aSection, const char* aName, const char* aUnit, double aValue)
+{
+  aSection.mRows.push_back({ aName, { { "value", aValue, aUnit } } });
+}
+
 size_t
 HeapBytes()
 {
@@ -128,7 +130,7 @@
 }
 
 void
-MeasureMemory(json& aFigures)
+MeasureMemory(Section& aSection)
 {
   const std::unique_ptr<Bench> bench = MakeBench(1);
   bench->mSettings.mAnswerLife = std::chrono::seconds(0);
@@ -144,7 +146,10 @@
   bench->mNow += std::chrono::seconds(10);
   Requests::Tick(bench->mState, ContextOf(*bench));
   const size_t opened = HeapBytes();
-  aFigures["bytes_per_flow"] = (opened - empty - ticketBytes) / kFlows;
+  AddRow(aSection,
+         "flow without requests",
+         "bytes",
+         static_cast<double>(opened - empty - ticketBytes) / kFlows);
   constexpr uint64_t kWindow = 64;
   constexpr size_t kFullFlows = 1000;
   for (size_t i = 0; i < kFullFlows; ++i) {
@@ -153,12 +158,15 @@
     }
     Requests::Tick(bench->mState, ContextOf(*bench));
   }
-  aFigures["bytes_per_full_window"] = (HeapBytes() - opened) / kFullFlows;
-  aFigures["ticket_bytes"] = tickets[0].size();
+  AddRow(aSection,
+         "full window of 64 numbers, added",
+         "bytes",
+         static_cast<double>(HeapBytes() - opened) / kFullFlows);
+  AddRow(aSection, "ticket", "bytes", static_cast<double>(tickets[0].size()));
 }
 
 void
-MeasureQueued(json& aFigures)
+MeasureQueued(Section& aSection)
 {
   // The thin scheduler queues 16 requests for each slot.
   const std::unique_ptr<Bench> bench = MakeBench(kQueued);
@@ -175,8 +183,10 @@
       ++sent;
     }
   }
-  aFigures["bytes_per_request"] = (HeapBytes() - before) / sent;
-  aFigures["requests_held"] = bench->mState.mCalls.size();
+  AddRow(aSection,
+         "queued or running request, body of 100 bytes",
+         "bytes",
+         static_cast<double>(HeapBytes() - before) / static_cast<double>(sent));
 }
 
 template<typename Action>
@@ -192,7 +202,7 @@
 }
 
 void
-MeasureTime(json& aFigures)
+MeasureTime(Section& aSection)
 {
   const std::unique_ptr<Bench> owner = MakeBench(4);
   const std::string ticket = OpenFlow(*owner, 1);
@@ -201,75 +211,75 @@
   for (size_t i = 0; i < kTimed; ++i) {
     payloads.push_back(RequestPayload(ticket, i + 1));
   }
-  aFigures["ns_per_request_at_owner"] =
-    NanosecondsEach(kTimed, [&](size_t aIndex) { Answer(*owner, Send(*owner, payloads[aIndex])); });
-  aFigures["ns_per_answered_duplicate"] =
-    NanosecondsEach(kTimed, [&](size_t) { Send(*owner, payloads.back()); });
-  aFigures["ns_per_ticket_check"] = NanosecondsEach(kTimed, [&](size_t) {
-    Requests::OpenTicket(owner->mSettings.mTicketKey, ticket, kAddresses).IgnoreError();
-  });
+  const auto add = [&aSection](const char* aName, double aTime) {
+    AddRow(aSection, aName, "ns", aTime);
+  };
+  add("request at its owner until its answer", NanosecondsEach(kTimed, [&](size_t aIndex) {
+        Answer(*owner, Send(*owner, payloads[aIndex]));
+      }));
+  add("duplicate of an answered request",
+      NanosecondsEach(kTimed, [&](size_t) { Send(*owner, payloads.back()); }));
+  add("check of a ticket", NanosecondsEach(kTimed, [&](size_t) {
+        Requests::OpenTicket(owner->mSettings.mTicketKey, ticket, kAddresses).IgnoreError();
+      }));
   const std::unique_ptr<Bench> other = MakeBench(4);
   other->mState.mSelf.mInstance = Base::InstanceId(2);
-  aFigures["ns_per_request_forwarded"] =
-    NanosecondsEach(kTimed, [&](size_t aIndex) { Send(*other, payloads[aIndex]); });
+  add("request forwarded to its owner",
+      NanosecondsEach(kTimed, [&](size_t aIndex) { Send(*other, payloads[aIndex]); }));
 }
 
-bool
-MeasureOutcomes(uint64_t aSeed, json& aFigures)
+Section
+MeasureOutcomes(uint64_t aSeed)
 {
-  uint64_t requests = 0;
-  uint64_t answered = 0;
-  uint64_t notRun = 0;
-  uint64_t unknown = 0;
-  uint64_t flowGone = 0;
-  uint64_t silent = 0;
-  uint64_t crashes = 0;
-  uint64_t leaves = 0;
-  uint64_t undrained = 0;
-  uint64_t partitions = 0;
-  uint64_t violations = 0;
+  RequestFakes::Result sum;
+  double violations = 0;
   for (uint64_t seed = aSeed; seed < aSeed + kSeeds; ++seed) {
     RequestFakes::Options options;
     options.mSeed = seed;
     const RequestFakes::Result result = RequestFakes::RunFakes(options);
-    requests += result.mRequests;
-    answered += result.mAnswered;
-    notRun += result.mNotRun;
-    unknown += result.mUnknown;
-    flowGone += result.mFlowGone;
-    silent += result.mSilent;
-    crashes += result.mCrashes;
-    leaves += result.mLeaves;
-    undrained += result.mUndrainedLeaves;
-    partitions += result.mPartitions;
-    violations += result.mViolations.size();
+    sum.mRequests += result.mRequests;
+    sum.mAnswered += result.mAnswered;
+    sum.mNotRun += result.mNotRun;
+    sum.mUnknown += result.mUnknown;
+    sum.mFlowGone += result.mFlowGone;
+    sum.mSilent += result.mSilent;
+    sum.mRepeatedRuns += result.mRepeatedRuns;
+    sum.mCrashes += result.mCrashes;
+    sum.mLeaves += result.mLeaves;
+    sum.mUndrainedLeaves += result.mUndrainedLeaves;
+    sum.mPartitions += result.mPartitions;
+    violations += static_cast<double>(result.mViolations.size());
   }
-  aFigures["outcomes"] = { { "seeds", kSeeds },          { "requests", requests },
-                           { "answered", answered },     { "not_run", notRun },
-                           { "unknown", unknown },       { "flow_gone", flowGone },
-                           { "silent", silent },         { "crashes", crashes },
-                           { "leaves", leaves },         { "leaves_not_drained", undrained },
-                           { "partitions", partitions }, { "violations", violations } };
-  return violations == 0;
+  Section section{ "outcomes of the randomized run, 100 seeds of 20 s", {} };
+  const auto add = [&section](const char* aName, double aCount) {
+    AddRow(section, aName, "", aCount);
+  };
+  add("requests", static_cast<double>(sum.mRequests));
+  add("answered", static_cast<double>(sum.mAnswered));
+  add("not run", static_cast<double>(sum.mNotRun));
+  add("outcome unknown", static_cast<double>(sum.mUnknown));
+  add("flow gone", static_cast<double>(sum.mFlowGone));
+  add("no reply", static_cast<double>(sum.mSilent));
+  add("idempotent requests run more than once", static_cast<double>(sum.mRepeatedRuns));
+  add("crashes", static_cast<double>(sum.mCrashes));
+  add("graceful leaves", static_cast<double>(sum.mLeaves));
+  add("graceful leaves not drained in 6 s", static_cast<double>(sum.mUndrainedLeaves));
+  add("partitions of one instance", static_cast<double>(sum.mPartitions));
+  add("broken rules", violations);
+  return section;
 }
 
 } // namespace
 
-int
-RunRequestsMeasure(uint64_t aSeed, bool aJson)
+Report
+MeasureRequests(uint64_t aSeed)
 {
-  json figures;
-  MeasureMemory(figures);
-  MeasureQueued(figures);
-  MeasureTime(figures);
-  const bool isClean = MeasureOutcomes(aSeed, figures);
-  figures["seed"] = aSeed;
-  if (aJson) {
-    std::cout << figures.dump() << "\n";
-  } else {
-    for (const auto& [name, value] : figures.items()) {
-      std::cout << "requests " << name << " " << value << "\n";
-    }
-  }
-  return isClean ? 0 : 1;
+  Section memory{ "memory", {} };
+  MeasureMemory(memory);
+  MeasureQueued(memory);
+  Section time{ "time", {} };
+  MeasureTime(time);
+  return { "requests", aSeed, { memory, time, MeasureOutcomes(aSeed) } };
 }
+
+} // namespace Measure
--- a/src/tools/measure/subcommands.h
+++ b/src/tools/measure/subcommands.h
@@ -9,4 +9,9 @@
 Report
 MeasurePlacement(uint64_t aSeed);
 
+/// Measures the request code: memory of flows and requests, time of decisions, outcomes of
+/// randomized runs that begin with this seed. \param aSeed makes the outcomes repeatable.
+Report
+MeasureRequests(uint64_t aSeed);
+
 } // namespace Measure
--- a/tests/auto/requests/fixture.cpp
+++ b/tests/auto/requests/fixture.cpp
@@ -23,7 +23,7 @@
 {
   const Requests::Run run{ Base::InstanceId(aId), Base::Incarnation(aRandomPart << kCounterBits) };
   mState = Requests::MakeState(run, 0);
-  mSettings.mTicketKey = "key";
+  mSettings.mTicketKey = Requests::MakeTicketKey("key");
   auto service = std::make_shared<Config::ServiceView>();
   service->mName = "counter";
   service->mAddress = kService;
--- a/tests/auto/requests/tst_parts.cpp
+++ b/tests/auto/requests/tst_parts.cpp
@@ -14,6 +14,8 @@
                       kUpstream,
                       Base::ServiceGeneration(3) };
 
+const TicketKey kKey = MakeTicketKey("key");
+
 void
 Add(Window& aWindow, uint64_t aNumber)
 {
@@ -32,7 +34,7 @@
 
 TEST(Parts, TicketOpensForItsAddresses)
 {
-  const auto opened = OpenTicket("key", SealTicket("key", kTicket, kAddresses), kAddresses);
+  const auto opened = OpenTicket(kKey, SealTicket(kKey, kTicket, kAddresses), kAddresses);
   CHECK_TRUE(opened.ok());
   CHECK_TRUE(IsSameRun(opened->mOwner, kTicket.mOwner));
   CHECK_TRUE(opened->mFlow == kTicket.mFlow && opened->mUpstream == kTicket.mUpstream);
@@ -42,16 +44,16 @@
 // Guards against forged and damaged tickets, and tickets copied to another caller or zone.
 TEST(Parts, TicketIsRefusedAfterAnyChange)
 {
-  const std::string sealed = SealTicket("key", kTicket, kAddresses);
+  const std::string sealed = SealTicket(kKey, kTicket, kAddresses);
   for (size_t bit = 0; bit < sealed.size() * 8; ++bit) {
     std::string damaged = sealed;
     damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1 << (bit % 8)));
-    CHECK_FALSE(OpenTicket("key", damaged, kAddresses).ok());
+    CHECK_FALSE(OpenTicket(kKey, damaged, kAddresses).ok());
   }
-  CHECK_FALSE(OpenTicket("key", sealed.substr(1), kAddresses).ok());
-  CHECK_FALSE(OpenTicket("other", sealed, kAddresses).ok());
-  CHECK_FALSE(OpenTicket("key", sealed, { { 1, 1 }, kService }).ok());
-  CHECK_FALSE(OpenTicket("key", sealed, { kCaller, { 1, 1 } }).ok());
+  CHECK_FALSE(OpenTicket(kKey, sealed.substr(1), kAddresses).ok());
+  CHECK_FALSE(OpenTicket(MakeTicketKey("other"), sealed, kAddresses).ok());
+  CHECK_FALSE(OpenTicket(kKey, sealed, { { 1, 1 }, kService }).ok());
+  CHECK_FALSE(OpenTicket(kKey, sealed, { kCaller, { 1, 1 } }).ok());
 }
 
 // Guards against a window that forgets numbers inside it or remembers numbers below it.
--- a/tests/auto/requests/tst_routing.cpp
+++ b/tests/auto/requests/tst_routing.cpp
@@ -156,7 +156,7 @@
 TEST(Routing, TicketOfAnotherRegionIsDropped)
 {
   Node foreign(7);
-  foreign.mSettings.mTicketKey = "key of another region";
+  foreign.mSettings.mTicketKey = Requests::MakeTicketKey("key of another region");
   const Requests::Effects effects = foreign.Caller(MakeRequest(mFlow, 2));
   CHECK_TRUE(Counts(effects, Event::DropForgedTicket));
   CHECK_TRUE(effects.mToCallers.empty() && effects.mToUpstreams.empty());
