Hand flows to the next successor if the first one leaves as well

Conclusion: an instance that leaves says that it has not accepted the flow and never will, which makes it safe to send it to another one.

--- a/src/libs/requests/dispatcher.cpp
+++ b/src/libs/requests/dispatcher.cpp
@@ -67,6 +67,8 @@
     Internal::AcceptTransfer(work, packet.transfer());
   } else if (packet.has_confirmed()) {
     Internal::AcceptConfirmation(work, packet.confirmed());
+  } else if (packet.has_rejected()) {
+    Internal::AcceptRejection(work, packet.rejected());
   } else if (packet.has_succession()) {
     Internal::AcceptSuccession(aState,
                                Internal::FromMessage(packet.succession().owner()),
--- a/src/libs/requests/handover.cpp
+++ b/src/libs/requests/handover.cpp
@@ -45,8 +45,8 @@
   const auto age = std::chrono::duration_cast<milliseconds>(now - aTransfer.mFrozenAt);
   aTransfer.mPacket.mutable_transfer()->set_age_ms(static_cast<uint32_t>(age.count()));
   aTransfer.mSentAt = now;
-  aWork.mEffects.mToPeers.push_back(
-    { aWork.mState.mHandover.mSuccessor->mInstance, aTransfer.mPacket.SerializeAsString() });
+  const Base::InstanceId target(aTransfer.mPacket.transfer().successor().instance());
+  aWork.mEffects.mToPeers.push_back({ target, aTransfer.mPacket.SerializeAsString() });
   CountEvent(aWork.mEffects, Event::TransferSent);
 }
 
@@ -139,6 +139,39 @@
     { Base::InstanceId(aTransfer.sender().instance()), packet.SerializeAsString() });
 }
 
+void
+SendRejection(Work& aWork, const lw::requestpeer::FlowTransfer& aTransfer)
+{
+  const std::optional<Run>& next = aWork.mState.mHandover.mSuccessor;
+  if (!next.has_value()) {
+    return;
+  }
+  lw::requestpeer::RequestPeerPacket packet;
+  lw::requestpeer::FlowTransferRejected& rejected = *packet.mutable_rejected();
+  *rejected.mutable_sender() = aTransfer.sender();
+  *rejected.mutable_successor() = aTransfer.successor();
+  *rejected.mutable_upstream() = aTransfer.upstream();
+  *rejected.mutable_next() = ToMessage(*next);
+  rejected.set_flow(aTransfer.flow());
+  aWork.mEffects.mToPeers.push_back(
+    { Base::InstanceId(aTransfer.sender().instance()), packet.SerializeAsString() });
+}
+
+/// \return the flow that is on its way to this successor, or the end.
+std::unordered_map<Base::FlowNumber, PendingTransfer>::iterator
+FindPending(State& aState,
+            const lw::requestpeer::Run& aSender,
+            const lw::requestpeer::Run& aSuccessor,
+            uint64_t aFlow)
+{
+  auto& pending = aState.mHandover.mPending;
+  const auto found = pending.find(Base::FlowNumber(aFlow));
+  const bool isOurs =
+    found != pending.end() && IsSameRun(FromMessage(aSender), aState.mSelf) &&
+    IsSameRun(FromMessage(aSuccessor), FromMessage(found->second.mPacket.transfer().successor()));
+  return isOurs ? found : pending.end();
+}
+
 } // namespace
 
 void
@@ -207,6 +240,7 @@
     return;
   }
   if (state.mHandover.mIsLeaving) {
+    SendRejection(aWork, aTransfer);
     CountEvent(aWork.mEffects, Event::DropTransferNotForUs);
     return;
   }
@@ -234,15 +268,41 @@
 void
 AcceptConfirmation(Work& aWork, const lw::requestpeer::FlowTransferConfirmed& aConfirmed)
 {
-  Handover& handover = aWork.mState.mHandover;
-  const bool isOurs = IsSameRun(FromMessage(aConfirmed.sender()), aWork.mState.mSelf) &&
-                      handover.mSuccessor.has_value() &&
-                      IsSameRun(FromMessage(aConfirmed.successor()), *handover.mSuccessor);
-  if (isOurs && handover.mPending.erase(Base::FlowNumber(aConfirmed.flow())) != 0) {
+  auto& pending = aWork.mState.mHandover.mPending;
+  const auto found =
+    FindPending(aWork.mState, aConfirmed.sender(), aConfirmed.successor(), aConfirmed.flow());
+  if (found != pending.end()) {
+    pending.erase(found);
     CountEvent(aWork.mEffects, Event::TransferConfirmed);
   }
 }
 
+void
+AcceptRejection(Work& aWork, const lw::requestpeer::FlowTransferRejected& aRejected)
+{
+  State& state = aWork.mState;
+  const auto found =
+    FindPending(state, aRejected.sender(), aRejected.successor(), aRejected.flow());
+  if (found == state.mHandover.mPending.end()) {
+    return;
+  }
+  // The successor's successor keeps the chain of notices whole. It may be this instance, if both
+  // chose each other.
+  Run next = FromMessage(aRejected.next());
+  if (next.mInstance == state.mSelf.mInstance) {
+    const Base::InstanceId rejecting(aRejected.successor().instance());
+    const Membership::Member* other =
+      SelectOther(aWork, state.mSelf.mIncarnation.mValue, rejecting);
+    if (other == nullptr) {
+      return;
+    }
+    next = { other->mId, other->mIncarnation };
+  }
+  state.mHandover.mSuccessor = next;
+  *found->second.mPacket.mutable_transfer()->mutable_successor() = ToMessage(next);
+  SendTransfer(aWork, found->second);
+}
+
 void
 AcceptSuccession(State& aState, const Run& aOwner, const Run& aSuccessor, Base::TimePoint aNow)
 {
--- a/src/libs/requests/handover.h
+++ b/src/libs/requests/handover.h
@@ -21,6 +21,10 @@
 void
 AcceptConfirmation(Work& aWork, const lw::requestpeer::FlowTransferConfirmed& aConfirmed);
 
+/// Sends a flow to another successor after the named one has said that it will never accept it.
+void
+AcceptRejection(Work& aWork, const lw::requestpeer::FlowTransferRejected& aRejected);
+
 /// Remembers who accepts the tickets of a run.
 void
 AcceptSuccession(State& aState, const Run& aOwner, const Run& aSuccessor, Base::TimePoint aNow);
--- a/src/libs/requests/messages.cpp
+++ b/src/libs/requests/messages.cpp
@@ -108,6 +108,9 @@
     case RequestPeerPacket::kConfirmed:
       message.mUpstream = Internal::FromMessage(message.mPacket.confirmed().upstream());
       return message;
+    case RequestPeerPacket::kRejected:
+      message.mUpstream = Internal::FromMessage(message.mPacket.rejected().upstream());
+      return message;
     case RequestPeerPacket::kSuccession:
       return message;
     case RequestPeerPacket::MESSAGE_NOT_SET:
--- a/src/libs/requests/routing.cpp
+++ b/src/libs/requests/routing.cpp
@@ -146,13 +146,13 @@
 } // namespace
 
 const Membership::Member*
-SelectOther(const Work& aWork, uint64_t aKey)
+SelectOther(const Work& aWork, uint64_t aKey, Base::InstanceId aExcept)
 {
   const Membership::View& view = aWork.mContext.mView;
   const Membership::Member* best = nullptr;
   std::pair<bool, uint64_t> bestScore;
   for (const Membership::Member& member : view.mMembers) {
-    if (member.mId == aWork.mState.mSelf.mInstance ||
+    if (member.mId == aWork.mState.mSelf.mInstance || member.mId == aExcept ||
         member.mState != Membership::MemberState::Alive) {
       continue;
     }
--- a/src/libs/requests/routing.h
+++ b/src/libs/requests/routing.h
@@ -8,9 +8,10 @@
 namespace Requests::Internal {
 
 /// Selects another alive member by rendezvous hash, if possible of the own availability zone.
-/// \return the member, or nullptr if this instance is alone.
+/// \param aExcept is not selected.
+/// \return the member, or nullptr if there is none.
 const Membership::Member*
-SelectOther(const Work& aWork, uint64_t aKey);
+SelectOther(const Work& aWork, uint64_t aKey, Base::InstanceId aExcept = Base::InstanceId());
 
 /// Handles an OpenFlow: passes it to the dispatcher of the upstream, or opens the flow here.
 /// \param aHops is the number of instances that have forwarded it.
--- a/tests/auto/entryrequests/tst_requestpath.cpp
+++ b/tests/auto/entryrequests/tst_requestpath.cpp
@@ -246,6 +246,7 @@
       }
     });
     std::vector<std::thread> senders;
+    senders.reserve(kThreads);
     for (int thread = 0; thread < kThreads; ++thread) {
       senders.emplace_back([&, thread] {
         for (uint64_t number = aFirst; number <= aLast; ++number) {
--- a/tests/auto/requests/tst_handover.cpp
+++ b/tests/auto/requests/tst_handover.cpp
@@ -128,6 +128,36 @@
   UNSIGNED_LONGS_EQUAL(2, stranger.Caller(MakeRequest(mFlow, 1)).mToPeers.at(0).mInstance.mValue);
 }
 
+// Guards against flows that are lost because the successor leaves at the same time (P1, two changes
+// at once).
+TEST(Handover, FlowGoesToTheNextSuccessorIfTheFirstLeavesToo)
+{
+  Node third(3);
+  mNew.SetMembers({ &mOld, &third });
+  mOld.Leave();
+  mNew.SetMembers({ &third });
+  mNew.Leave();
+  Requests::Effects rejection;
+  for (const Requests::ToPeer& packet : mOld.Tick().mToPeers) {
+    const Requests::Effects reply = mNew.Peer(packet.mPayload);
+    if (!reply.mToPeers.empty()) {
+      rejection = reply;
+    }
+  }
+  UNSIGNED_LONGS_EQUAL(1, rejection.mToPeers.size());
+  const Requests::Effects again = mOld.Peer(rejection.mToPeers[0].mPayload);
+  UNSIGNED_LONGS_EQUAL(3, again.mToPeers.at(0).mInstance.mValue);
+  const Requests::Effects accepted = third.Peer(again.mToPeers[0].mPayload);
+  CHECK_TRUE(Counts(accepted, Event::TransferAccepted));
+  // A copy that reaches the first successor must not be taken there.
+  CHECK_FALSE(Counts(mNew.Peer(again.mToPeers[0].mPayload), Event::TransferAccepted));
+  for (const Requests::ToPeer& packet : accepted.mToPeers) {
+    mOld.Peer(packet.mPayload);
+  }
+  CHECK_TRUE(mOld.mState.mHandover.mPending.empty());
+  UNSIGNED_LONGS_EQUAL(1, WorksIn(third.Caller(MakeRequest(mFlow, 1))).size());
+}
+
 // Guards against work that is refused although the instance could finish it.
 TEST(Handover, LastInstanceFinishesItsQueue)
 {
