--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -25,6 +25,8 @@
       return Event::RefuseQueueFull;
     case Admission::RefusalReason::DeadlineTooShort:
       return Event::RefuseDeadlineTooShort;
+    case Admission::RefusalReason::UpstreamHung:
+      return Event::RefuseUpstreamHung;
     case Admission::RefusalReason::DeadlinePassed:
       break;
   }
@@ -153,8 +155,8 @@
 HandleSchedulerRefusal(Work& aWork, const Admission::Refused& aRefused)
 {
   const auto found = aWork.mState.mAttempts.find(aRefused.mId);
-  if (found == aWork.mState.mAttempts.end()) {
-    return;
+  if (found == aWork.mState.mAttempts.end() || found->second.mIsRunning) {
+    return; // A dispatch cannot be taken back.
   }
   const CallKey key = found->second.mCall;
   Call& call = aWork.mState.mCalls.at(key);
--- a/src/tools/measure/requestsmeasure.cpp
+++ b/src/tools/measure/requestsmeasure.cpp
@@ -1,5 +1,7 @@
+#include "measure/requestsmeasure.h"
+
+#include "measure/report.h"
 #include "measure/requestsfakes.h"
-#include "measure/subcommands.h"
 #include "requests/dispatcher.h"
 
 #include "caller.pb.h"
@@ -8,6 +10,7 @@
 #include <malloc.h>
 
 #include <chrono>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -271,15 +274,24 @@
 
 } // namespace
 
-Report
-MeasureRequests(uint64_t aSeed)
+} // namespace Measure
+
+int
+RunRequestsMeasure(uint64_t aSeed, bool aJson)
 {
+  using namespace Measure;
   Section memory{ "memory", {} };
   MeasureMemory(memory);
   MeasureQueued(memory);
   Section time{ "time", {} };
   MeasureTime(time);
-  return { "requests", aSeed, { memory, time, MeasureOutcomes(aSeed) } };
+  const Section outcomes = MeasureOutcomes(aSeed);
+  const Report report{ "requests", aSeed, { memory, time, outcomes } };
+  if (aJson) {
+    PrintJson(report, std::cout);
+  } else {
+    PrintTable(report, std::cout);
+  }
+  // The last row counts the broken rules.
+  return outcomes.mRows.back().mFigures.front().mValue == 0 ? 0 : 1;
 }
-
-} // namespace Measure
