--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -155,8 +155,8 @@
 HandleSchedulerRefusal(Work& aWork, const Admission::Refused& aRefused)
 {
   const auto found = aWork.mState.mAttempts.find(aRefused.mId);
-  if (found == aWork.mState.mAttempts.end()) {
-    return;
+  if (found == aWork.mState.mAttempts.end() || found->second.mIsRunning) {
+    return; // A dispatch cannot be taken back.
   }
   const CallKey key = found->second.mCall;
   Call& call = aWork.mState.mCalls.at(key);
--- a/src/tools/measure/requestsmeasure.cpp
+++ b/src/tools/measure/requestsmeasure.cpp
@@ -1,13 +1,12 @@
 #include "measure/requestsmeasure.h"
 
+#include "measure/report.h"
 #include "measure/requestsfakes.h"
 #include "requests/dispatcher.h"
 
 #include "caller.pb.h"
 #include "upstream.pb.h"
 
-#include <nlohmann/json.hpp>
-
 #include <malloc.h>
 
 #include <chrono>
@@ -16,12 +15,11 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace Measure {
 
-using nlohmann::json;
+namespace {
 
 constexpr size_t kFlows = 20000;
-constexpr size_t kQueued = 20000;
 constexpr size_t kTimed = 100000;
 constexpr size_t kBodyBytes = 100;
 constexpr uint64_t kSeeds = 100;
@@ -46,7 +44,7 @@
   auto bench = std::make_unique<Bench>();
   const Requests::Run self{ Base::InstanceId(1), Base::Incarnation(uint64_t{ 7 } << 32U) };
   bench->mState = Requests::MakeState(self, 0);
-  bench->mSettings.mTicketKey = "0123456789abcdef0123456789abcdef";
+  bench->mSettings.mTicketKey = Requests::MakeTicketKey("0123456789abcdef0123456789abcdef");
   auto service = std::make_shared<Config::ServiceView>();
   service->mName = "counter";
   service->mAddress = kService;
@@ -121,6 +119,12 @@
   return Requests::HandleUpstreamPacket(aBench.mState, ContextOf(aBench), kUpstream, packet);
 }
 
+void
+AddRow(Section& aSection, const char* aName, const char* aUnit, double aValue)
+{
+  aSection.mRows.push_back({ aName, { { "value", aValue, aUnit } } });
+}
+
 size_t
 HeapBytes()
 {
@@ -128,7 +132,7 @@
 }
 
 void
-MeasureMemory(json& aFigures)
+MeasureMemory(Section& aSection)
 {
   const std::unique_ptr<Bench> bench = MakeBench(1);
   bench->mSettings.mAnswerLife = std::chrono::seconds(0);
@@ -144,7 +148,10 @@
   bench->mNow += std::chrono::seconds(10);
   Requests::Tick(bench->mState, ContextOf(*bench));
   const size_t opened = HeapBytes();
-  aFigures["bytes_per_flow"] = (opened - empty - ticketBytes) / kFlows;
+  AddRow(aSection,
+         "flow without requests",
+         "bytes",
+         static_cast<double>(opened - empty - ticketBytes) / kFlows);
   constexpr uint64_t kWindow = 64;
   constexpr size_t kFullFlows = 1000;
   for (size_t i = 0; i < kFullFlows; ++i) {
@@ -153,30 +160,35 @@
     }
     Requests::Tick(bench->mState, ContextOf(*bench));
   }
-  aFigures["bytes_per_full_window"] = (HeapBytes() - opened) / kFullFlows;
-  aFigures["ticket_bytes"] = tickets[0].size();
+  AddRow(aSection,
+         "full window of 64 numbers, added",
+         "bytes",
+         static_cast<double>(HeapBytes() - opened) / kFullFlows);
+  AddRow(aSection, "ticket", "bytes", static_cast<double>(tickets[0].size()));
 }
 
 void
-MeasureQueued(json& aFigures)
+MeasureQueued(Section& aSection)
 {
-  // The thin scheduler queues 16 requests for each slot.
-  const std::unique_ptr<Bench> bench = MakeBench(kQueued);
-  std::vector<std::string> payloads;
-  std::vector<std::string> tickets(kQueued / 32);
-  for (size_t i = 0; i < tickets.size(); ++i) {
-    tickets[i] = OpenFlow(*bench, i + 1);
-  }
-  const size_t before = HeapBytes();
-  size_t sent = 0;
-  for (const std::string& ticket : tickets) {
-    for (uint64_t number = 1; number <= 32; ++number) {
+  constexpr size_t kRounds = 200;
+  double bytes = 0;
+  size_t held = 0;
+  for (size_t round = 0; round < kRounds; ++round) {
+    const std::unique_ptr<Bench> bench = MakeBench(1);
+    const std::string ticket = OpenFlow(*bench, 1);
+    Send(*bench, RequestPayload(ticket, 1));
+    const size_t before = HeapBytes();
+    // Up to the first refusal, because refused requests take no memory but their window entry.
+    for (uint64_t number = 2; number <= 32; ++number) {
       Send(*bench, RequestPayload(ticket, number));
-      ++sent;
+      if (bench->mState.mCalls.size() < number) {
+        break;
+      }
     }
+    bytes += static_cast<double>(HeapBytes() - before);
+    held += bench->mState.mCalls.size() - 1;
   }
-  aFigures["bytes_per_request"] = (HeapBytes() - before) / sent;
-  aFigures["requests_held"] = bench->mState.mCalls.size();
+  AddRow(aSection, "queued request, body of 100 bytes", "bytes", bytes / static_cast<double>(held));
 }
 
 template<typename Action>
@@ -192,7 +204,7 @@
 }
 
 void
-MeasureTime(json& aFigures)
+MeasureTime(Section& aSection)
 {
   const std::unique_ptr<Bench> owner = MakeBench(4);
   const std::string ticket = OpenFlow(*owner, 1);
@@ -201,75 +213,85 @@
   for (size_t i = 0; i < kTimed; ++i) {
     payloads.push_back(RequestPayload(ticket, i + 1));
   }
-  aFigures["ns_per_request_at_owner"] =
-    NanosecondsEach(kTimed, [&](size_t aIndex) { Answer(*owner, Send(*owner, payloads[aIndex])); });
-  aFigures["ns_per_answered_duplicate"] =
-    NanosecondsEach(kTimed, [&](size_t) { Send(*owner, payloads.back()); });
-  aFigures["ns_per_ticket_check"] = NanosecondsEach(kTimed, [&](size_t) {
-    Requests::OpenTicket(owner->mSettings.mTicketKey, ticket, kAddresses).IgnoreError();
-  });
+  const auto add = [&aSection](const char* aName, double aTime) {
+    AddRow(aSection, aName, "ns", aTime);
+  };
+  add("request at its owner until its answer", NanosecondsEach(kTimed, [&](size_t aIndex) {
+        Answer(*owner, Send(*owner, payloads[aIndex]));
+      }));
+  add("duplicate of an answered request",
+      NanosecondsEach(kTimed, [&](size_t) { Send(*owner, payloads.back()); }));
+  add("check of a ticket", NanosecondsEach(kTimed, [&](size_t) {
+        Requests::OpenTicket(owner->mSettings.mTicketKey, ticket, kAddresses).IgnoreError();
+      }));
   const std::unique_ptr<Bench> other = MakeBench(4);
   other->mState.mSelf.mInstance = Base::InstanceId(2);
-  aFigures["ns_per_request_forwarded"] =
-    NanosecondsEach(kTimed, [&](size_t aIndex) { Send(*other, payloads[aIndex]); });
+  add("request forwarded to its owner",
+      NanosecondsEach(kTimed, [&](size_t aIndex) { Send(*other, payloads[aIndex]); }));
 }
 
-bool
-MeasureOutcomes(uint64_t aSeed, json& aFigures)
+Section
+MeasureOutcomes(uint64_t aSeed)
 {
-  uint64_t requests = 0;
-  uint64_t answered = 0;
-  uint64_t notRun = 0;
-  uint64_t unknown = 0;
-  uint64_t flowGone = 0;
-  uint64_t silent = 0;
-  uint64_t crashes = 0;
-  uint64_t leaves = 0;
-  uint64_t undrained = 0;
-  uint64_t partitions = 0;
-  uint64_t violations = 0;
+  RequestFakes::Result sum;
+  double violations = 0;
   for (uint64_t seed = aSeed; seed < aSeed + kSeeds; ++seed) {
     RequestFakes::Options options;
     options.mSeed = seed;
+    options.mHasUpstreamLoss = seed % 2 == 0;
     const RequestFakes::Result result = RequestFakes::RunFakes(options);
-    requests += result.mRequests;
-    answered += result.mAnswered;
-    notRun += result.mNotRun;
-    unknown += result.mUnknown;
-    flowGone += result.mFlowGone;
-    silent += result.mSilent;
-    crashes += result.mCrashes;
-    leaves += result.mLeaves;
-    undrained += result.mUndrainedLeaves;
-    partitions += result.mPartitions;
-    violations += result.mViolations.size();
+    sum.mRequests += result.mRequests;
+    sum.mAnswered += result.mAnswered;
+    sum.mNotRun += result.mNotRun;
+    sum.mUnknown += result.mUnknown;
+    sum.mFlowGone += result.mFlowGone;
+    sum.mSilent += result.mSilent;
+    sum.mRepeatedRuns += result.mRepeatedRuns;
+    sum.mCrashes += result.mCrashes;
+    sum.mLeaves += result.mLeaves;
+    sum.mUndrainedLeaves += result.mUndrainedLeaves;
+    sum.mPartitions += result.mPartitions;
+    violations += static_cast<double>(result.mViolations.size());
   }
-  aFigures["outcomes"] = { { "seeds", kSeeds },          { "requests", requests },
-                           { "answered", answered },     { "not_run", notRun },
-                           { "unknown", unknown },       { "flow_gone", flowGone },
-                           { "silent", silent },         { "crashes", crashes },
-                           { "leaves", leaves },         { "leaves_not_drained", undrained },
-                           { "partitions", partitions }, { "violations", violations } };
-  return violations == 0;
+  Section section{ "outcomes of the randomized run, 100 seeds of 20 s", {} };
+  const auto add = [&section](const char* aName, double aCount) {
+    AddRow(section, aName, "", aCount);
+  };
+  add("requests", static_cast<double>(sum.mRequests));
+  add("answered", static_cast<double>(sum.mAnswered));
+  add("not run", static_cast<double>(sum.mNotRun));
+  add("outcome unknown", static_cast<double>(sum.mUnknown));
+  add("flow gone", static_cast<double>(sum.mFlowGone));
+  add("no reply", static_cast<double>(sum.mSilent));
+  add("idempotent requests run more than once", static_cast<double>(sum.mRepeatedRuns));
+  add("crashes", static_cast<double>(sum.mCrashes));
+  add("graceful leaves", static_cast<double>(sum.mLeaves));
+  add("graceful leaves not drained in 6 s", static_cast<double>(sum.mUndrainedLeaves));
+  add("partitions of one instance", static_cast<double>(sum.mPartitions));
+  add("broken rules", violations);
+  return section;
 }
 
 } // namespace
 
+} // namespace Measure
+
 int
 RunRequestsMeasure(uint64_t aSeed, bool aJson)
 {
-  json figures;
-  MeasureMemory(figures);
-  MeasureQueued(figures);
-  MeasureTime(figures);
-  const bool isClean = MeasureOutcomes(aSeed, figures);
-  figures["seed"] = aSeed;
+  using namespace Measure;
+  Section memory{ "memory", {} };
+  MeasureMemory(memory);
+  MeasureQueued(memory);
+  Section time{ "time", {} };
+  MeasureTime(time);
+  const Section outcomes = MeasureOutcomes(aSeed);
+  const Report report{ "requests", aSeed, { memory, time, outcomes } };
   if (aJson) {
-    std::cout << figures.dump() << "\n";
+    PrintJson(report, std::cout);
   } else {
-    for (const auto& [name, value] : figures.items()) {
-      std::cout << "requests " << name << " " << value << "\n";
-    }
+    PrintTable(report, std::cout);
   }
-  return isClean ? 0 : 1;
+  // The last row counts the broken rules.
+  return outcomes.mRows.back().mFigures.front().mValue == 0 ? 0 : 1;
 }
