Use the client terms in the dispatcher and count late work of draining upstreams

Cause: OpenFlow.terms was not read, so every client stayed at its starting share, and no run over real processes showed that a leaving upstream gets no new work after 3 s. The dispatcher now opens the sealed record, renews it, returns it in FlowOpened and uses the share and surge allowance of the reached level in the scheduler's policy. A client whose queue was full for more than one request in ten does not grow in that term. The upstream stand-in counts new work later than 3 s after its drain began.

--- a/scripts/history_check.py
+++ b/scripts/history_check.py
@@ -26,6 +26,15 @@
     return outcomes
 
 
+def read_late_work(folder):
+    """Sums the new work that upstreams got more than 3 s after they began to drain."""
+    late = 0
+    for path in glob.glob(os.path.join(folder, "*.late")):
+        with open(path) as file:
+            late += int(file.read().strip() or 0)
+    return late
+
+
 def is_unrepeatable(body):
     """Callers mark every third request as one that must not run twice."""
     return int(body.rsplit("-", 1)[1]) % 3 == 0
@@ -38,5 +47,6 @@
     return {
         "double_runs": sum(1 for body, n in runs.items() if n > 1 and is_unrepeatable(body)),
         "false_not_run": sum(1 for body in outcomes["not_run"] if runs[body] > 0),
+        "late_work": read_late_work(folder),
         "answers_without_run": sum(1 for body in outcomes["answered"] if runs[body] == 0),
     }
--- a/scripts/localsystem.py
+++ b/scripts/localsystem.py
@@ -218,6 +218,7 @@
             f"--announce={announce}",
             f"--request_service={'true' if request_service else 'false'}",
             f"--record={os.path.join(self.folder, name + '.runs')}",
+            f"--late={os.path.join(self.folder, name + '.late')}",
         ]
         return self._run(name, "lw-upstream", arguments + list(extra))
 
--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -11,6 +11,7 @@
 PROMISES = {
     "broken_flows": "an established flow survives a planned change",
     "no_answer": "a graceful shutdown cuts no request",
+    "late_work": "a leaving upstream gets no new work after 3 s",
     "outcome_unknown": "a planned change leaves no outcome unknown",
     **scenario.SAFETY,
 }
--- a/src/libs/requests/attempts.cpp
+++ b/src/libs/requests/attempts.cpp
@@ -160,6 +160,10 @@
   }
   const CallKey key = found->second.mCall;
   Call& call = aWork.mState.mCalls.at(key);
+  const Flow* flow = FindFlow(aWork.mState.mFlows, key.mFlow);
+  if (flow != nullptr && aRefused.mReason == Admission::RefusalReason::QueueFull) {
+    CountConduct(aWork.mState.mClients, { flow->mGeneration, flow->mClient }, true);
+  }
   DropAttempt(aWork.mState, call, aRefused.mId);
   // Attempts leave a call only if the upstream or the scheduler refused them, so a call without
   // attempts has not run.
@@ -187,7 +191,7 @@
   }
   const auto [entry, isNew] = aWork.mState.mQueues.try_emplace(aKey);
   if (isNew || entry->second.mService != service->second) {
-    SetPolicy(entry->second, service->second);
+    SetPolicy(entry->second, service->second, aWork.mState.mClients);
   }
   if (isNew) {
     ReportUpstream(entry->second, aKey, aWork.mContext);
--- a/src/libs/requests/owner.cpp
+++ b/src/libs/requests/owner.cpp
@@ -26,13 +26,14 @@
 }
 
 void
-SendOpened(Work& aWork, const Flow& aFlow, uint64_t aOpenId)
+SendOpened(Work& aWork, const Flow& aFlow, uint64_t aOpenId, const std::string& aTerms)
 {
   const Ticket ticket{ aFlow.mOrigin, aFlow.mNumber, aFlow.mUpstream, aFlow.mGeneration };
   lw::caller::EntryPacket packet;
   lw::caller::FlowOpened& opened = *packet.mutable_opened();
   opened.set_open_id(aOpenId);
   opened.set_flow(aFlow.mNumber.mValue);
+  opened.set_terms(aTerms);
   opened.set_ticket(SealTicket(aWork.mContext.mSettings.mTicketKey, ticket, aFlow.mAddresses));
   aWork.mEffects.mToCallers.push_back({ aFlow.mAddresses, packet.SerializeAsString() });
 }
@@ -126,6 +127,7 @@
     aWork.mContext.mNow + std::min(milliseconds(aRequest.deadline_ms()), kMaxDeadline);
   aWork.mState.mCalls.emplace(aKey, std::move(call));
   ++aFlow.mOpenCalls;
+  CountConduct(aWork.mState.mClients, { aFlow.mGeneration, aFlow.mClient }, false);
 }
 
 void
@@ -158,10 +160,11 @@
     return;
   }
   const Base::ServiceGeneration generation = service->second->mGeneration;
+  const std::string terms = PresentTerms(aWork, *service->second, aOpen.client(), aOpen.terms());
   const OpenKey key{ aAddresses.mCaller, aAddresses.mService, aOpen.open_id() };
   const Flow* opened = FindOpened(state.mFlows, key, context.mNow);
   if (opened != nullptr && opened->mUpstream == aUpstream && opened->mGeneration == generation) {
-    SendOpened(aWork, *opened, aOpen.open_id());
+    SendOpened(aWork, *opened, aOpen.open_id(), terms);
     CountEvent(aWork.mEffects, Event::OpenedAgain);
     return;
   }
@@ -184,7 +187,7 @@
   flow.mClient = aOpen.client();
   const Flow& added = AddFlow(state.mFlows, std::move(flow), context.mNow);
   RememberOpened(state.mFlows, key, added.mNumber, context.mNow);
-  SendOpened(aWork, added, aOpen.open_id());
+  SendOpened(aWork, added, aOpen.open_id(), terms);
   CountEvent(aWork.mEffects, Event::Opened);
 }
 
--- a/src/libs/requests/policy.cpp
+++ b/src/libs/requests/policy.cpp
@@ -16,7 +16,9 @@
 } // namespace
 
 void
-SetPolicy(UpstreamQueue& aQueue, const std::shared_ptr<const Config::ServiceView>& aService)
+SetPolicy(UpstreamQueue& aQueue,
+          const std::shared_ptr<const Config::ServiceView>& aService,
+          const KnownClients& aClients)
 {
   aQueue.mService = aService;
   aQueue.mPolicy = Admission::Policy();
@@ -24,8 +26,9 @@
     aQueue.mPolicy.mKinds.push_back({ kind.name(), kind.share_permille(), kind.urgency() });
   }
   for (const lw::config::ClientTerms& client : aService->mDefinition.clients()) {
+    const Terms::Entitlement entitlement = KnownEntitlement(aClients, *aService, client);
     aQueue.mPolicy.mClients.push_back(
-      { client.client(), client.starting_share_permille(), client.surge_allowance() });
+      { client.client(), entitlement.mShare.mValue, entitlement.mSurgeAllowance });
   }
 }
 
--- a/src/libs/requests/policy.h
+++ b/src/libs/requests/policy.h
@@ -9,9 +9,12 @@
 
 struct Work;
 
-/// Makes the queue's policy from the definition of its service.
+/// Makes the queue's policy from the definition of its service and the terms that clients have
+/// shown.
 void
-SetPolicy(UpstreamQueue& aQueue, const std::shared_ptr<const Config::ServiceView>& aService);
+SetPolicy(UpstreamQueue& aQueue,
+          const std::shared_ptr<const Config::ServiceView>& aService,
+          const KnownClients& aClients);
 
 /// \return true if the service has this kind of work, or names no kinds.
 bool
--- a/src/libs/requests/state.h
+++ b/src/libs/requests/state.h
@@ -6,6 +6,7 @@
 #include "membership/view.h"
 #include "requestpeer.pb.h"
 #include "requests/answers.h"
+#include "requests/clientterms.h"
 #include "requests/flowtable.h"
 #include "requests/retrybudget.h"
 
@@ -33,6 +34,8 @@
 {
   /// Key of the region for tickets, the same on all its instances.
   TicketKey mTicketKey;
+  /// The same key for the sealed terms of clients.
+  std::string mTermsKey;
   uint32_t mRetryPermille = 100;
   Base::Duration mFlowIdle = std::chrono::minutes(10);
   Base::Duration mAnswerLife = std::chrono::seconds(10);
@@ -47,6 +50,8 @@
   Limits mLimits;
   Base::TimePoint mNow;
   Base::RandomSource& mRandom;
+  /// Dates the terms of clients, which outlive processes.
+  Terms::WallSeconds mWallNow{};
 };
 
 /// An upstream within one generation of its service.
@@ -172,6 +177,7 @@
   /// Calls without an attempt.
   std::set<CallKey> mWaiting;
   std::map<UpstreamKey, UpstreamQueue> mQueues;
+  KnownClients mClients;
   AnswerStore mAnswers;
   /// Bytes of answers that are not complete; shares the bound of the answer store.
   size_t mAssemblyBytes = 0;
--- a/src/standins/caller/requestload.cpp
+++ b/src/standins/caller/requestload.cpp
@@ -72,6 +72,7 @@
     lw::caller::CallerPacket packet;
     packet.mutable_open()->set_open_id(mOpenId);
     packet.mutable_open()->set_client(mSettings.mCallerName);
+    packet.mutable_open()->set_terms(mTerms);
     mSocket.Send(packet.SerializeAsString());
     ArmTimer(kResendAfter);
   }
@@ -160,6 +161,7 @@
       return;
     }
     mTicket = aOpened.ticket();
+    mTerms = aOpened.terms();
     mFlow = aOpened.flow();
     SendNext();
   }
@@ -215,6 +217,7 @@
   uint64_t mOpenId = 0;
   uint64_t mFlow = 0;
   std::string mTicket;
+  std::string mTerms;
   uint64_t mLastRequestNumber = 0;
   uint64_t mBodyNumber = 0;
   std::string mBody;
--- a/src/standins/upstream/main.cpp
+++ b/src/standins/upstream/main.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -18,7 +19,11 @@
 ABSL_FLAG(uint32_t, slots, 3, "requests that run at the same time");
 ABSL_FLAG(uint32_t, service_time_ms, 5, "time that a request takes");
 ABSL_FLAG(std::string, record, "", "file that gets a line for each run");
-ABSL_FLAG(uint32_t, drain_seconds, 3, "time between SIGTERM and the end");
+ABSL_FLAG(std::string,
+          late,
+          "",
+          "file that gets the count of new work later than 3 s after SIGTERM");
+ABSL_FLAG(uint32_t, drain_seconds, 7, "time between SIGTERM and the end");
 
 namespace {
 
@@ -52,6 +57,7 @@
   std::thread thread([&context] { context.run(); });
   Program::WaitForStopSignal();
   announcer.SetState(lw::announce::DRAINING);
+  responder.BeginDrain();
   const auto end =
     std::chrono::steady_clock::now() + std::chrono::seconds(absl::GetFlag(FLAGS_drain_seconds));
   while (std::chrono::steady_clock::now() < end) {
@@ -62,6 +68,10 @@
   std::this_thread::sleep_for(kLoadInterval * 2);
   context.stop();
   thread.join();
+  const std::string latePath = absl::GetFlag(FLAGS_late);
+  if (!latePath.empty()) {
+    std::ofstream(latePath) << responder.LateWork() << std::endl;
+  }
   return Program::kExitOk;
 }
 
--- a/src/standins/upstream/responder.cpp
+++ b/src/standins/upstream/responder.cpp
@@ -11,6 +11,8 @@
 using boost::asio::ip::udp;
 using Timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock>;
 
+/// Header form bit of RFC 8999.
+constexpr uint8_t kOpeningBit = 0x80;
 constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
 
 } // namespace
@@ -33,6 +35,21 @@
   Receive();
 }
 
+void
+Responder::BeginDrain()
+{
+  mDrainStart = std::chrono::steady_clock::now();
+  mDraining = true;
+}
+
+void
+Responder::CountLateWork()
+{
+  if (mDraining && std::chrono::steady_clock::now() > mDrainStart.load() + kDrainNotice) {
+    ++mLateWork;
+  }
+}
+
 void
 Responder::Receive()
 {
@@ -54,6 +71,11 @@
     return;
   }
   if (!mSettings.mIsRequestService) {
+    const bool isOpening =
+      !parts->mPayload.empty() && (static_cast<uint8_t>(parts->mPayload[0]) & kOpeningBit) != 0;
+    if (isOpening) {
+      CountLateWork();
+    }
     const std::string echo =
       absl::StrCat(parts->mPayload, "|", mSettings.mName, "|", mSettings.mService);
     Send(parts->mAddresses, mFrom, echo);
@@ -69,6 +91,7 @@
 void
 Responder::HandleWork(const Wire::ProxyAddresses& aAddresses, const lw::upstream::Work& aWork)
 {
+  CountLateWork();
   if (mRunning >= mSettings.mSlots) {
     lw::upstream::FromUpstream shed;
     *shed.mutable_shed()->mutable_id() = aWork.id();
--- a/src/standins/upstream/responder.h
+++ b/src/standins/upstream/responder.h
@@ -31,6 +31,9 @@
   uint32_t mPieces = 3;
 };
 
+/// Time in which a draining upstream may still get new work.
+constexpr std::chrono::seconds kDrainNotice{ 3 };
+
 /// Answers packets: echoes them for opaque services, runs work for request services and sheds what
 /// exceeds its slots.
 class Responder
@@ -42,9 +45,17 @@
 
   uint32_t Running() const { return mRunning; }
 
+  /// Tells that the upstream announced that it drains.
+  void BeginDrain();
+
+  /// New work that arrived more than kDrainNotice after the start of the drain: requests, and
+  /// opening packets of opaque flows.
+  uint64_t LateWork() const { return mLateWork; }
+
 private:
   void Receive();
   void Handle(absl::string_view aDatagram);
+  void CountLateWork();
   void HandleWork(const Wire::ProxyAddresses& aAddresses, const lw::upstream::Work& aWork);
   void Answer(const Wire::ProxyAddresses& aAddresses,
               const boost::asio::ip::udp::endpoint& aTo,
@@ -60,6 +71,9 @@
   std::array<char, 65536> mBuffer{};
   std::ofstream mRecord;
   std::atomic<uint32_t> mRunning{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<std::chrono::steady_clock::time_point> mDrainStart{};
+  std::atomic<uint64_t> mLateWork{ 0 };
 };
 
 } // namespace UpstreamStandIn
--- a/src/tools/entry/requestpath.cpp
+++ b/src/tools/entry/requestpath.cpp
@@ -5,6 +5,7 @@
 #include "upstream.pb.h"
 
 #include <algorithm>
+#include <chrono>
 #include <random>
 #include <utility>
 
@@ -22,6 +23,14 @@
   return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
+Terms::WallSeconds
+WallNow()
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return Terms::WallSeconds(
+    static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count()));
+}
+
 Requests::FlowAddresses
 ToFlowAddresses(const Wire::ProxyAddresses& aAddresses)
 {
@@ -61,6 +70,7 @@
   , mOpenFlows(aMetrics.GaugeFor("lw_request_flows"))
 {
   mSettings.mTicketKey = Requests::MakeTicketKey(aSettings.mRegionKey);
+  mSettings.mTermsKey = aSettings.mRegionKey;
   mCounters.push_back(nullptr);
   for (size_t i = 1; i < static_cast<size_t>(Requests::Event::Count); ++i) {
     const char* name = Requests::CounterName(static_cast<Requests::Event>(i));
@@ -130,8 +140,9 @@
   {
     const std::lock_guard<std::mutex> lock(shard.mMutex);
     view = shard.mView.Load();
-    const Requests::Context context{ *view,  *shard.mServices.Load(),   mSettings,
-                                     limits, Base::RuntimeClock::now(), shard.mRandom };
+    const Requests::Context context{ *view,    *shard.mServices.Load(),   mSettings,
+                                     limits,   Base::RuntimeClock::now(), shard.mRandom,
+                                     WallNow() };
     effects = aDecision(shard.mState, context);
     shard.mFlows = shard.mState.mFlows.mFlows.size();
     shard.mAnswerBytes = shard.mState.mAnswers.mBytes + shard.mState.mAssemblyBytes;
--- a/tests/auto/requests/fixture.cpp
+++ b/tests/auto/requests/fixture.cpp
@@ -42,7 +42,7 @@
 Requests::Context
 Node::Context()
 {
-  return { mView, mServices, mSettings, mLimits, mNow, mRandom };
+  return { mView, mServices, mSettings, mLimits, mNow, mRandom, mWallNow };
 }
 
 void
--- a/tests/auto/requests/fixture.h
+++ b/tests/auto/requests/fixture.h
@@ -40,6 +40,7 @@
   Requests::Settings mSettings;
   Requests::Limits mLimits;
   Base::TimePoint mNow;
+  Terms::WallSeconds mWallNow{ 1000000 };
   Base::RandomSource mRandom;
 };
 
--- a/tests/scripts/test_history_check.py
+++ b/tests/scripts/test_history_check.py
@@ -11,9 +11,10 @@
 
 
 class HistoryCheckTest(unittest.TestCase):
-    def check(self, runs, record):
+    def check(self, runs, record, late="0"):
         with tempfile.TemporaryDirectory() as folder:
-            for name, lines in (("u1.runs", runs), ("caller.record", record)):
+            files = (("u1.runs", runs), ("caller.record", record), ("u1.late", [late]))
+            for name, lines in files:
                 with open(os.path.join(folder, name), "w") as file:
                     file.write("".join(line + "\n" for line in lines))
             return history_check.check(folder)
@@ -28,6 +29,9 @@
     def test_finds_a_false_refusal(self):
         self.assertEqual(1, self.check(["c-0-4"], ["not_run c-0-4"])["false_not_run"])
 
+    def test_finds_work_for_an_upstream_that_drains(self):
+        self.assertEqual(2, self.check([], [], late="2")["late_work"])
+
     def test_finds_an_answer_without_a_run(self):
         self.assertEqual(1, self.check([], ["answered c-0-4"])["answers_without_run"])
 
