--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -38,7 +38,10 @@
     for name, promise in PROMISES.items():
         print(f"{result[name]:>6}  {name:<22} {promise}")
     print(f"flows {result['flows']}, requests {result['requests']}, answered {result['answered']}")
-    print(f"imbalance of flows {result['imbalance_max_over_mean']}")
+    print(f"broken flows {result['broken_flows']}")
+    print(f"imbalance of flows, maximum over mean {result['imbalance_max_over_mean']}")
+    kept = result["goodput_kept_in_flood"]
+    print(f"buybacks keep {kept} of their goodput in a flood of {result['flood_requests']} look-ups")
     print(f"refused as not run {result['not_run']}, {result['duration_seconds']} s")
     print("no promise was broken" if not found else f"BROKEN: {found}")
 
@@ -52,7 +55,7 @@
     exit_codes = {}
     with tempfile.TemporaryDirectory(prefix="lacewingwalk-") as folder:
         run = scenario.Scenario(arguments.bin, arguments.keep or folder, LOAD_SECONDS)
-        result = run.run(lambda started: planned_events(started, exit_codes))
+        result = run.run(lambda started: planned_events(started, exit_codes), with_flood=True)
     result.update(exit_codes)
     found = scenario.violations(result, PROMISES)
     found.update({name: code for name, code in exit_codes.items() if code != 0})
--- a/scripts/scenario.py
+++ b/scripts/scenario.py
@@ -33,6 +33,9 @@
     ("export-1", "export", "zone-b", False),
     ("export-2", "export", "zone-c", False),
 ]
+FLOOD_SECONDS = 4
+# Each flow sends its next request as soon as the last one ended, far more than the upstreams can do.
+FLOOD_FLOWS = 150
 # Hold time of a new upstream plus its first announcements.
 WARM_UP_SECONDS = 8
 
@@ -99,12 +102,46 @@
         output, _ = caller.communicate(timeout=self.load_seconds + 30)
         return json.loads(output)
 
-    def run(self, make_events):
+    def _start_request_caller(self, name, kind, flows, interval_ms, seconds):
+        """Starts callers that send requests of one kind only."""
+        arguments = [
+            f"--request_ingress={self.system.ingresses[COUNTER['address']]}",
+            "--request_service=counter",
+            f"--repeatable_kind={kind}",
+            f"--unrepeatable_kind={kind}",
+            f"--request_flows={flows}",
+            f"--interval_ms={interval_ms}",
+            f"--seconds={seconds}",
+        ]
+        command = self.system.caller_command(name, arguments)
+        return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+    def _clerks(self, name):
+        """Runs buybacks for FLOOD_SECONDS and returns how many were answered."""
+        caller = self._start_request_caller(name, "buyback", 6, 50, FLOOD_SECONDS)
+        output, _ = caller.communicate(timeout=FLOOD_SECONDS + 30)
+        return json.loads(output)["answered"]
+
+    def measure_flood(self):
+        """Compares the goodput of buybacks with and without a flood of look-ups."""
+        without = self._clerks("clerks-without-flood")
+        flood = self._start_request_caller("flood", "lookup", FLOOD_FLOWS, 1, FLOOD_SECONDS + 2)
+        time.sleep(1)
+        during = self._clerks("clerks-during-flood")
+        output, _ = flood.communicate(timeout=FLOOD_SECONDS + 30)
+        return {
+            "goodput_kept_in_flood": round(during / without, 3) if without else 0.0,
+            "flood_requests": json.loads(output)["requests"],
+        }
+
+    def run(self, make_events, with_flood=False):
         """Starts the system, runs the load with the events of make_events(self), and stops everything."""
         started = time.monotonic()
         try:
             self.start()
             result = self.run_load(make_events(self))
+            if with_flood:
+                result.update(self.measure_flood())
         finally:
             codes = self.system.stop_all()
         result.update(history_check.check(self.system.folder))
--- a/src/libs/admission/upstreamchoice.cpp
+++ b/src/libs/admission/upstreamchoice.cpp
@@ -30,14 +30,14 @@
 }
 
 // Parts of the reachable availability zones.
-struct ZoneShares
+struct AvailabilityZoneShares
 {
   /// Part of the new flows that arrive there; the fabric delivers to all instances alike.
   double mArrivals = 0;
   double mUpstreams = 0;
 };
 
-std::vector<ZoneShares>
+std::vector<AvailabilityZoneShares>
 SharesOf(const std::vector<AvailabilityZoneSummary>& aSummaries)
 {
   double instances = 0;
@@ -46,7 +46,7 @@
     instances += summary.mReachable ? summary.mInstances : 0;
     upstreams += summary.mReachable ? summary.mUpstreams : 0;
   }
-  std::vector<ZoneShares> shares(aSummaries.size());
+  std::vector<AvailabilityZoneShares> shares(aSummaries.size());
   for (size_t i = 0; i < aSummaries.size(); ++i) {
     if (aSummaries[i].mReachable) {
       shares[i].mArrivals = aSummaries[i].mInstances / std::max(1.0, instances);
@@ -132,8 +132,8 @@
                        size_t aOwn,
                        Base::RandomSource& aRandom)
 {
-  const std::vector<ZoneShares> shares = SharesOf(aSummaries);
-  const ZoneShares& own = shares[aOwn];
+  const std::vector<AvailabilityZoneShares> shares = SharesOf(aSummaries);
+  const AvailabilityZoneShares& own = shares[aOwn];
   if (own.mUpstreams > 0) {
     if (own.mArrivals <= kSpillTolerance * own.mUpstreams) {
       return aOwn;
@@ -143,7 +143,7 @@
     }
   }
   std::vector<double> weights;
-  for (const ZoneShares& zone : shares) {
+  for (const AvailabilityZoneShares& zone : shares) {
     const double room = std::max(0.0, zone.mUpstreams - zone.mArrivals);
     weights.push_back(own.mUpstreams > 0 ? room : zone.mUpstreams);
   }
