--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -18,7 +18,7 @@
 
 
 def planned_events(run, exit_codes):
-    """An upstream joins; an entry instance restarts; an upstream drains and leaves."""
+    """An upstream joins; both services change; an entry instance restarts while an upstream drains and leaves."""
 
     def restart_entry():
         exit_codes["entry_exit_code"] = run.entries[0].terminate()
@@ -27,7 +27,14 @@
     def drain_upstream():
         exit_codes["drain_exit_code"] = run.upstreams["counter-2"].terminate()
 
+    def change_services():
+        run.system.apply_service({**scenario.EXPORT, "max_flow_idle_seconds": 200})
+        run.system.apply_service(
+            {**scenario.COUNTER, "clients": [{"client": "caller", "ceiling_permille": 500}]}
+        )
+
     return [
+        (7, change_services),
         (3, lambda: run.add_upstream("export-3", "export", "zone-a", False)),
         (12, restart_entry),
         (13, drain_upstream),
