Forget the clients of services that are gone

Cause: a dispatcher kept what it knows of a client for each service generation, so services that are deleted and created again and again would have filled the memory. A new entry now drops those of services that no longer exist.

--- a/src/libs/requests/clientterms.cpp
+++ b/src/libs/requests/clientterms.cpp
@@ -5,6 +5,8 @@
 #include "requests/policy.h"
 #include "terms/sealedrecord.h"
 
+#include <iterator>
+#include <set>
 #include <tuple>
 
 namespace Requests {
@@ -66,6 +68,21 @@
                                                                      : Terms::Standing::Good;
 }
 
+/// Forgets the clients of services that are gone, so that services that are created again and again
+/// do not fill the memory.
+void
+ForgetGoneServices(KnownClients& aClients, const Config::ServiceIndex& aServices)
+{
+  std::set<Base::ServiceGeneration> generations;
+  for (const auto& [name, service] : aServices.mByName) {
+    generations.insert(service->mGeneration);
+  }
+  for (auto known = aClients.begin(); known != aClients.end();) {
+    const bool isGone = generations.count(known->first.mGeneration) == 0;
+    known = isGone ? aClients.erase(known) : std::next(known);
+  }
+}
+
 /// Keeps the newest record; an older one that is shown again must not take away what was reached.
 bool
 Remember(KnownClients& aClients, const ClientKey& aKey, const lw::terms::Record& aRecord)
@@ -104,6 +121,9 @@
   const ClientKey client{ aService.mGeneration, aClient };
   const Terms::Renewal renewal = Terms::Renew(
     record, MakePolicy(aService, *terms), StandingOf(clients, client), aWork.mContext.mWallNow);
+  if (clients.count(client) == 0) {
+    ForgetGoneServices(clients, aWork.mContext.mServices);
+  }
   if (Remember(clients, client, renewal.mRecord)) {
     for (auto& [queueKey, queue] : aWork.mState.mQueues) {
       if (queueKey.mGeneration == aService.mGeneration && queue.mService != nullptr) {
--- a/tests/auto/requests/tst_clientterms.cpp
+++ b/tests/auto/requests/tst_clientterms.cpp
@@ -100,6 +100,20 @@
   UNSIGNED_LONGS_EQUAL(1, mNode.mState.mClients.size());
 }
 
+// Guards against memory that grows with each service that is deleted and created again.
+TEST(ClientTerms, ForgetsClientsOfGoneServices)
+{
+  OpenWithTerms(mNode, 1, "");
+  auto service = std::make_shared<Config::ServiceView>(*mNode.mServices.mByAddress.begin()->second);
+  service->mGeneration = Base::ServiceGeneration(9);
+  mNode.mServices.mByAddress.begin()->second = service;
+  mNode.mServices.mByName["counter"] = service;
+  mNode.mView.mUpstreams[0].mGeneration = service->mGeneration;
+  OpenWithTerms(mNode, 2, "");
+  UNSIGNED_LONGS_EQUAL(1, mNode.mState.mClients.size());
+  CHECK_TRUE(mNode.mState.mClients.begin()->first.mGeneration == service->mGeneration);
+}
+
 // Guards against growth of a client that floods its queue.
 TEST(ClientTerms, ClientThatFillsItsQueueDoesNotGrow)
 {
