--- a/src/libs/config/logstate.cpp
+++ b/src/libs/config/logstate.cpp
@@ -26,6 +26,12 @@
   if (!version.ok() || aState.mState.version() == before) {
     return version;
   }
+  if (command.change().has_declare()) {
+    // A complete configuration is large. A follower that lacks it gets the whole state once instead
+    // of every declaration that was overtaken meanwhile.
+    aState.mRevisions.clear();
+    return version;
+  }
   lw::config::Revision revision;
   revision.set_version(aState.mState.version());
   *revision.mutable_change() = command.change();
--- a/src/libs/config/statemachine.cpp
+++ b/src/libs/config/statemachine.cpp
@@ -12,6 +12,9 @@
 
 /// Outcomes kept for the resends of one operator, oldest dropped first.
 constexpr int kMaxRecordedOutcomes = 4096;
+/// Departures kept, oldest dropped first. An upstream is gone minutes after its departure, when
+/// thousands of others have not yet followed it.
+constexpr int kMaxDepartures = 4096;
 constexpr uint64_t kOutcomeLifetimeMs = 24ULL * 60 * 60 * 1000;
 
 const lw::config::RecordedOutcome*
@@ -162,6 +165,35 @@
   return Base::ConfigVersion(aState.version());
 }
 
+/// Takes a complete configuration into force unless a higher version is. Content that was accepted
+/// under a version never changes.
+Base::ConfigVersion
+Declare(lw::config::State& aState, const lw::config::Declaration& aDeclaration)
+{
+  if (aDeclaration.version() > aState.declaration().version()) {
+    *aState.mutable_declaration() = aDeclaration;
+    aState.set_version(aState.version() + 1);
+  }
+  return Base::ConfigVersion(aState.version());
+}
+
+Base::ConfigVersion
+Depart(lw::config::State& aState, const lw::config::Departure& aDeparture)
+{
+  for (const lw::config::Departure& known : aState.departures()) {
+    if (known.upstream() == aDeparture.upstream() &&
+        known.started_at_ms() == aDeparture.started_at_ms()) {
+      return Base::ConfigVersion(aState.version());
+    }
+  }
+  if (aState.departures_size() >= kMaxDepartures) {
+    aState.mutable_departures()->erase(aState.departures().begin());
+  }
+  *aState.add_departures() = aDeparture;
+  aState.set_version(aState.version() + 1);
+  return Base::ConfigVersion(aState.version());
+}
+
 absl::Status
 ApplyAction(lw::config::State& aState, const lw::config::Change& aChange)
 {
@@ -183,6 +215,12 @@
   if (aChange.has_release_addresses()) {
     return ReleaseAddresses(aState, aChange.release_addresses());
   }
+  if (aChange.has_declare()) {
+    return Declare(aState, aChange.declare());
+  }
+  if (aChange.has_depart()) {
+    return Depart(aState, aChange.depart());
+  }
   const lw::config::RecordedOutcome* outcome = FindOutcome(aState, aChange);
   if (outcome != nullptr) {
     return Base::ConfigVersion(outcome->version());
--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -5,6 +5,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 
 namespace Config {
 
@@ -12,6 +13,7 @@
 
 constexpr uint32_t kFullSharePermille = 1000;
 constexpr size_t kMaxNameLength = 64;
+constexpr uint32_t kMaxPort = 65535;
 
 absl::Status
 Wrong(const std::string& aPath, const std::string& aReason)
@@ -104,8 +106,59 @@
   return status.ok() ? ValidateClients(aService) : status;
 }
 
+bool
+IsControlAction(const lw::config::Change& aChange)
+{
+  return aChange.has_release_addresses() || aChange.has_declare() || aChange.has_depart();
+}
+
+absl::Status
+ValidateRoute(const lw::config::Route& aRoute, const std::set<std::string>& aServices)
+{
+  if (aRoute.timeout_ms() == 0) {
+    return Wrong("routes.timeout_ms", absl::StrCat("of \"", aRoute.name(), "\" must not be 0"));
+  }
+  if (aRoute.port() == 0 || aRoute.port() > kMaxPort) {
+    return Wrong("routes.port", absl::StrCat("of \"", aRoute.name(), "\" is out of range"));
+  }
+  uint64_t weight = 0;
+  for (const lw::config::WeightedService& target : aRoute.services()) {
+    weight += target.weight();
+    if (aServices.count(target.service()) == 0) {
+      return Wrong("routes.services", absl::StrCat("names no service \"", target.service(), "\""));
+    }
+  }
+  return weight > 0 ? absl::OkStatus()
+                    : Wrong("routes.services",
+                            absl::StrCat("of \"", aRoute.name(), "\" have no weight"));
+}
+
 } // namespace
 
+absl::Status
+ValidateDeclaration(const lw::config::Declaration& aDeclaration)
+{
+  if (aDeclaration.version() == 0) {
+    return Wrong("version", "must be at least 1");
+  }
+  const std::set<std::string> services(aDeclaration.services().begin(),
+                                       aDeclaration.services().end());
+  if (static_cast<int>(services.size()) != aDeclaration.services_size()) {
+    return Wrong("services", "has a name twice");
+  }
+  std::set<std::pair<uint32_t, uint32_t>> addresses;
+  for (const lw::config::Route& route : aDeclaration.routes()) {
+    const absl::Status valid = ValidateRoute(route, services);
+    if (!valid.ok()) {
+      return valid;
+    }
+    if (!addresses.emplace(route.address(), route.port()).second) {
+      return Wrong("routes", absl::StrCat("\"", route.name(), "\" has the address of another"));
+    }
+  }
+  return absl::OkStatus();
+}
+
 absl::Status
 ValidateChange(const lw::config::Change& aChange)
 {
@@ -114,11 +167,11 @@
     return operatorId;
   }
   const bool ownChange = aChange.operator_id() == kControlOperatorId;
-  if (ownChange != aChange.has_release_addresses()) {
-    return Wrong("operator_id", "\"lw-control\" is for the release of addresses only");
+  if (ownChange != IsControlAction(aChange)) {
+    return Wrong("operator_id", "\"lw-control\" is for changes of the control instances only");
   }
   if (ownChange) {
-    return absl::OkStatus();
+    return aChange.has_declare() ? ValidateDeclaration(aChange.declare()) : absl::OkStatus();
   }
   if (aChange.request_number() == 0) {
     return Wrong("request_number", "must be at least 1");
--- a/src/libs/consensus/election.cpp
+++ b/src/libs/consensus/election.cpp
@@ -48,6 +48,7 @@
 void
 StartVote(Node& aNode, const Context& aContext, Output& aOutput)
 {
+  ResetElectionDeadline(aNode, aContext);
   aNode.mRole = Role::Candidate;
   ++aNode.mHardState.mTerm;
   aNode.mHardState.mVotedFor = OwnStorage(aNode);
@@ -95,6 +96,7 @@
     StartVote(aNode, aContext, aOutput);
     return;
   }
+  SetPreVoteDeadline(aNode, aContext);
   aNode.mRole = Role::PreCandidate;
   aNode.mVotes = { OwnStorage(aNode) };
   AskForVotes(aNode, aContext, aOutput);
--- a/src/libs/consensus/formation.cpp
+++ b/src/libs/consensus/formation.cpp
@@ -32,7 +32,7 @@
 FormIfAllUnformed(Node& aNode, const Context& aContext, Output& aOutput)
 {
   const Settings& settings = aContext.mSettings;
-  if (IsFormed(aNode) || !SetsFirstMembership(settings)) {
+  if (IsFormed(aNode) || !settings.mMayForm || !SetsFirstMembership(settings)) {
     return;
   }
   Entry entry;
@@ -77,6 +77,19 @@
   FormIfAllUnformed(aNode, aContext, aOutput);
 }
 
+void
+TellRetired(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput)
+{
+  // A removal that is not committed may still be undone.
+  if (aMessage.has_hello_reply() || aNode.mMemberships.back().mIndex > aNode.mCommit) {
+    return;
+  }
+  Message message = MakeReply(aNode, aContext, aMessage);
+  message.mutable_hello_reply()->set_formed(true);
+  message.mutable_hello_reply()->set_retired(true);
+  aOutput.mMessages.push_back(std::move(message));
+}
+
 void
 HandleHello(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput)
 {
@@ -114,11 +127,20 @@
     return found != aNode.mProgress.end() && found->second.mSynced >= aNode.mCommit &&
            aContext.mNow - found->second.mLastReply < aContext.mSettings.mElectionTimeout;
   };
+  const auto isSilent = [&](StorageId aStorage) {
+    const auto found = aNode.mProgress.find(aStorage);
+    return found != aNode.mProgress.end() &&
+           aContext.mNow - found->second.mLastReply >= aContext.mSettings.mRemovalAge;
+  };
   const std::optional<Membership> changed = NextRepairStep({ CurrentMembership(aNode),
                                                              OwnStorage(aNode),
                                                              aContext.mSettings.mInstances,
                                                              aNode.mJoining,
-                                                             hasCaughtUp });
+                                                             hasCaughtUp,
+                                                             aContext.mSettings.mOpenMembership,
+                                                             isSilent,
+                                                             aContext.mSettings.mMinVoters,
+                                                             aContext.mSettings.mMaxVoters });
   if (!changed.has_value()) {
     return;
   }
--- a/src/libs/consensus/formation.h
+++ b/src/libs/consensus/formation.h
@@ -15,6 +15,10 @@
 void
 HandleHelloReply(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput);
 
+/// Answers a message of a replica that was removed, so that it joins again as a new one.
+void
+TellRetired(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput);
+
 /// Proposes the next membership change at the leader, one at a time.
 void
 RepairMembership(Node& aNode, const Context& aContext, Output& aOutput);
--- a/src/libs/consensus/membership.cpp
+++ b/src/libs/consensus/membership.cpp
@@ -33,6 +33,35 @@
   return -1;
 }
 
+size_t
+VoterCount(const Membership& aMembership)
+{
+  const auto& replicas = aMembership.replicas();
+  return static_cast<size_t>(std::count_if(
+    replicas.begin(), replicas.end(), [](const auto& aReplica) { return aReplica.voter(); }));
+}
+
+/// Removes a replica that is gone: its instance may never come back, and while it counts the
+/// membership bears fewer further losses.
+std::optional<Membership>
+RemoveSilent(const RepairInput& aInput)
+{
+  if (!aInput.mOpen) {
+    return std::nullopt;
+  }
+  const bool spare = VoterCount(aInput.mMembership) > aInput.mMinVoters;
+  for (int i = 0; i < aInput.mMembership.replicas_size(); ++i) {
+    const lw::consensus::Replica& replica = aInput.mMembership.replicas(i);
+    const StorageId storage(replica.storage());
+    if (storage != aInput.mSelf && (spare || !replica.voter()) && aInput.mIsSilent(storage)) {
+      Membership changed = aInput.mMembership;
+      Remove(changed, i);
+      return changed;
+    }
+  }
+  return std::nullopt;
+}
+
 /// Moves a learner one step on: removes the voter that it replaces, or makes it a voter.
 std::optional<Membership>
 AdvanceLearner(const RepairInput& aInput, int aPosition)
@@ -44,6 +73,9 @@
   Membership changed = aInput.mMembership;
   const int replaced = FindOther(changed, learner.instance(), learner.storage());
   if (replaced < 0) {
+    if (aInput.mOpen && VoterCount(changed) >= aInput.mMaxVoters) {
+      return std::nullopt;
+    }
     changed.mutable_replicas(aPosition)->set_voter(true);
     return changed;
   }
@@ -58,6 +90,7 @@
 AddLearner(const RepairInput& aInput, Base::InstanceId aInstance, StorageId aStorage)
 {
   const bool known =
+    aInput.mOpen ||
     std::find(aInput.mKnownInstances.begin(), aInput.mKnownInstances.end(), aInstance) !=
     aInput.mKnownInstances.end();
   if (!known || FindReplica(aInput.mMembership, aStorage) != nullptr ||
@@ -148,7 +181,7 @@
       return changed;
     }
   }
-  return std::nullopt;
+  return RemoveSilent(aInput);
 }
 
 } // namespace Consensus
--- a/src/libs/consensus/membership.h
+++ b/src/libs/consensus/membership.h
@@ -44,6 +44,11 @@
   const std::map<Base::InstanceId, StorageId>& mJoining;
   /// Says whether the learner has synced all committed entries.
   std::function<bool(StorageId)> mHasCaughtUp;
+  /// Instances that are not named may join, and voters that mIsSilent names may be removed.
+  bool mOpen = false;
+  std::function<bool(StorageId)> mIsSilent;
+  size_t mMinVoters = 0;
+  size_t mMaxVoters = 9;
 };
 
 /// Finds the next single step that brings joining replicas into the membership: add as learner;
--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -129,7 +129,7 @@
   node.mApplied = node.mCommit;
   node.mVerified = node.mCommit;
   node.mNextHello = aContext.mNow;
-  ResetElectionDeadline(node, aContext);
+  SetPreVoteDeadline(node, aContext);
   return node;
 }
 
@@ -161,8 +161,11 @@
 {
   Output output;
   const StorageId sender(aMessage.from_storage());
-  if (aNode.mFailed || !IsAddressedTo(aMessage, aNode, aContext.mSettings) ||
-      IsRetired(CurrentMembership(aNode), sender)) {
+  if (aNode.mFailed || !IsAddressedTo(aMessage, aNode, aContext.mSettings)) {
+    return output;
+  }
+  if (IsRetired(CurrentMembership(aNode), sender)) {
+    TellRetired(aNode, aContext, aMessage, output);
     return output;
   }
   if (aMessage.has_hello()) {
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -22,10 +22,24 @@
   Base::InstanceId mSelf;
   /// All control instances, the own one included.
   std::vector<Base::InstanceId> mInstances;
+  /// This instance may take part in setting the first membership. Without it, it only joins.
+  bool mMayForm = true;
+  /// Replicas of instances that the settings do not name may join as well.
+  bool mOpenMembership = false;
+  /// With an open membership, a voter that has been silent for this long is removed while more than
+  /// mMinVoters are left.
+  Base::Duration mRemovalAge = std::chrono::seconds(5);
+  size_t mMinVoters = 3;
+  /// More replicas stay learners, because each voter adds to every commit.
+  size_t mMaxVoters = 9;
   Base::Duration mHeartbeatInterval = std::chrono::milliseconds(100);
   /// An election starts after one to two of these without a leader. Ten heartbeats, so that a few
   /// lost messages or a slow sync do not cost the leader its quorum.
   Base::Duration mElectionTimeout = std::chrono::milliseconds(1000);
+  /// Without a known leader, a pre-vote is repeated after one to two of these. It changes no term,
+  /// so it disturbs nobody, and the first one after a common restart often finds its peers not yet
+  /// running.
+  Base::Duration mPreVoteInterval = std::chrono::milliseconds(150);
   uint64_t mSnapshotInterval = 1000;
   /// Entries kept before a snapshot, so that an instance that was away briefly needs no snapshot.
   uint64_t mRetainedEntries = 1000;
--- a/src/libs/consensus/roles.cpp
+++ b/src/libs/consensus/roles.cpp
@@ -32,13 +32,28 @@
     aNode, aContext, Base::InstanceId(aRequest.from()), StorageId(aRequest.from_storage()));
 }
 
+namespace {
+
 void
-ResetElectionDeadline(Node& aNode, const Context& aContext)
+SetDeadline(Node& aNode, const Context& aContext, Base::Duration aInterval)
 {
-  const Base::Duration timeout = aContext.mSettings.mElectionTimeout;
-  const auto spread = static_cast<uint64_t>(timeout.count());
+  const auto spread = static_cast<uint64_t>(aInterval.count());
   const auto extra = static_cast<int64_t>(Base::NextBelow(aContext.mRandom, spread + 1));
-  aNode.mElectionDeadline = aContext.mNow + timeout + Base::Duration(extra);
+  aNode.mElectionDeadline = aContext.mNow + aInterval + Base::Duration(extra);
+}
+
+} // namespace
+
+void
+ResetElectionDeadline(Node& aNode, const Context& aContext)
+{
+  SetDeadline(aNode, aContext, aContext.mSettings.mElectionTimeout);
+}
+
+void
+SetPreVoteDeadline(Node& aNode, const Context& aContext)
+{
+  SetDeadline(aNode, aContext, aContext.mSettings.mPreVoteInterval);
 }
 
 void
--- a/src/libs/consensus/roles.h
+++ b/src/libs/consensus/roles.h
@@ -19,6 +19,10 @@
 void
 ResetElectionDeadline(Node& aNode, const Context& aContext);
 
+/// Sets the time of the next pre-vote of an instance that knows no leader.
+void
+SetPreVoteDeadline(Node& aNode, const Context& aContext);
+
 /// Resets what holds for one leader only, at the start of a term.
 void
 ForgetLeader(Node& aNode);
--- a/src/tools/control/configstore.cpp
+++ b/src/libs/control/configstore.cpp
@@ -1,4 +1,4 @@
-#include "configstore.h"
+#include "control/configstore.h"
 
 #include <algorithm>
 #include <chrono>
@@ -64,6 +64,17 @@
   return mState.mState;
 }
 
+bool
+ConfigStore::HasDeparture(const lw::config::Departure& aDeparture) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto& departures = mState.mState.departures();
+  return std::any_of(departures.begin(), departures.end(), [&](const auto& aKnown) {
+    return aKnown.upstream() == aDeparture.upstream() &&
+           aKnown.started_at_ms() == aDeparture.started_at_ms();
+  });
+}
+
 lw::operator_api::HistoryReply
 ConfigStore::History(uint64_t aAfterVersion) const
 {
--- a/src/tools/control/configstore.h
+++ b/src/libs/control/configstore.h
@@ -34,6 +34,8 @@
 
   uint64_t Version() const;
   lw::config::State State() const;
+  /// \return true if the log holds this departure.
+  bool HasDeparture(const lw::config::Departure& aDeparture) const;
   /// Revisions after a version that are still kept, in order.
   lw::operator_api::HistoryReply History(uint64_t aAfterVersion) const;
 
--- a/src/tools/control/controlsettings.cpp
+++ b/src/libs/control/controlsettings.cpp
@@ -1,4 +1,4 @@
-#include "controlsettings.h"
+#include "control/controlsettings.h"
 
 #include <algorithm>
 #include <chrono>
@@ -78,6 +78,22 @@
 
 } // namespace
 
+std::optional<ControlAddress>
+AddressOf(const ControlSettings& aSettings, Base::InstanceId aInstance)
+{
+  for (const ControlAddress& address : aSettings.mInstances) {
+    if (address.mInstance == aInstance) {
+      return address;
+    }
+  }
+  if (!aSettings.mIdsAreAddresses) {
+    return std::nullopt;
+  }
+  return ControlAddress{ aInstance,
+                         { aInstance.mValue, aSettings.mPeerListen.mPort },
+                         { aInstance.mValue, aSettings.mOperatorListen.mPort } };
+}
+
 absl::Status
 ReadControlSettings(Settings::Reader& aReader, ControlSettings& aSettings)
 {
--- a/src/tools/control/controlsettings.h
+++ b/src/libs/control/controlsettings.h
@@ -7,6 +7,7 @@
 #include "consensus/node.h"
 #include "settings/reader.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,8 +39,15 @@
   /// An entry instance that did not report for this long does not hold up the release of addresses.
   Base::Duration mReportWindow{};
   Consensus::Settings mConsensus;
+  /// Instance ids are IPv4 addresses, and every control instance uses the ports of this one. An
+  /// instance that is not in mInstances is then reached under its id.
+  bool mIdsAreAddresses = false;
 };
 
+/// \return where a control instance is reached, or nothing if it is unknown.
+std::optional<ControlAddress>
+AddressOf(const ControlSettings& aSettings, Base::InstanceId aInstance);
+
 /// Reads and checks the settings.
 /// \return the first error with the path of its key.
 absl::Status
--- a/src/tools/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -1,8 +1,8 @@
-#include "logdriver.h"
+#include "control/logdriver.h"
 
 #include "absl/strings/str_cat.h"
 #include "config/validation.h"
-#include "logstatus.h"
+#include "control/logstatus.h"
 
 #include <glog/logging.h>
 
@@ -21,6 +21,8 @@
 constexpr milliseconds kTickInterval{ 25 };
 constexpr milliseconds kReleaseInterval{ 1000 };
 constexpr milliseconds kHandOverLimit{ 2000 };
+/// Pause between attempts to use a data directory again after a failed write.
+constexpr milliseconds kRecoveryInterval{ 500 };
 /// Messages handled before timers and requests get their turn.
 constexpr int kMaxMessagesPerTurn = 256;
 
@@ -64,9 +66,27 @@
   if (!locked.ok()) {
     return locked;
   }
+  const absl::Status opened = OpenReplica(mSettings.mConsensus);
+  if (!opened.ok()) {
+    return opened;
+  }
+  try {
+    mPeers = std::make_unique<PeerSockets>(mContext, mSettings);
+  } catch (const zmq::error_t& error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", Base::ToString(mSettings.mPeerListen), ": ", error.what()));
+  }
+  PublishStatus();
+  mThread = std::thread([this] { Run(); });
+  return absl::OkStatus();
+}
+
+absl::Status
+LogDriver::OpenReplica(const Consensus::Settings& aSettings)
+{
   std::vector<std::string> notices;
   absl::StatusOr<Replication::Replica> replica =
-    Replication::OpenReplica(mSettings.mConsensus,
+    Replication::OpenReplica(aSettings,
                              PosixFiles(),
                              mSettings.mDataDirectory,
                              MakePorts(),
@@ -80,14 +100,7 @@
     return replica.status();
   }
   mReplica = *std::move(replica);
-  try {
-    mPeers = std::make_unique<PeerSockets>(mContext, mSettings);
-  } catch (const zmq::error_t& error) {
-    return absl::UnavailableError(
-      absl::StrCat("cannot listen on ", Base::ToString(mSettings.mPeerListen), ": ", error.what()));
-  }
-  PublishStatus();
-  mThread = std::thread([this] { Run(); });
+  mFailure = absl::OkStatus();
   return absl::OkStatus();
 }
 
@@ -107,6 +120,39 @@
   return mQueue.Submit(Config::MakeCommand(aChange, WallClockMs()), aLimit);
 }
 
+void
+LogDriver::Apply(const lw::config::Change& aChange, FinishCall aFinish)
+{
+  mQueue.Submit(Config::MakeCommand(aChange, WallClockMs()), std::move(aFinish));
+}
+
+void
+LogDriver::ConfirmRead(FinishCall aFinish)
+{
+  mQueue.Submit("", std::move(aFinish));
+}
+
+void
+LogDriver::SetKnownInstances(std::vector<Base::InstanceId> aInstances)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mNewInstances = std::move(aInstances);
+}
+
+bool
+LogDriver::IsResponsive(Base::Duration aLimit) const
+{
+  const Base::TimePoint turn(Base::Duration(mLastTurn.load()));
+  return Base::RuntimeClock::now() - turn < aLimit;
+}
+
+std::vector<Base::InstanceId>
+LogDriver::Members() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mMembers;
+}
+
 absl::Status
 LogDriver::ConfirmRead(Base::Duration aLimit)
 {
@@ -124,12 +170,11 @@
 LogDriver::LeaderAddress() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  for (const ControlAddress& address : mSettings.mInstances) {
-    if (mStatus.connected() && address.mInstance == mLeader) {
-      return Base::ToString(address.mOperatorAddress);
-    }
+  if (!mStatus.connected() || mLeader == Base::InstanceId()) {
+    return "";
   }
-  return "";
+  const std::optional<ControlAddress> address = AddressOf(mSettings, mLeader);
+  return address.has_value() ? Base::ToString(address->mOperatorAddress) : "";
 }
 
 void
@@ -162,6 +207,9 @@
 {
   while (!mDone) {
     Wait();
+    mLastTurn = Base::RuntimeClock::now().time_since_epoch().count();
+    TakeKnownInstances();
+    RecoverReplica();
     ReceiveMessages();
     TakeRequests();
     if (Base::RuntimeClock::now() >= mNextTick) {
@@ -198,6 +246,10 @@
       mStore.AddReports(message->reports());
       continue;
     }
+    if (TellsRetirement(*message)) {
+      Rejoin();
+      return;
+    }
     const Base::TimePoint now = Base::RuntimeClock::now();
     Replication::Perform(
       mReplica,
@@ -206,6 +258,56 @@
   }
 }
 
+void
+LogDriver::TakeKnownInstances()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (!mNewInstances.empty()) {
+    mReplica.mSettings.mInstances = std::exchange(mNewInstances, {});
+  }
+}
+
+void
+LogDriver::RecoverReplica()
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  if (!mReplica.mNode.mFailed || now < mNextRecovery) {
+    return;
+  }
+  mNextRecovery = now + kRecoveryInterval;
+  // What the failed write left behind is unknown, so the directory is read again from the start.
+  const absl::Status opened = OpenReplica(mReplica.mSettings);
+  if (opened.ok()) {
+    LOG(INFO) << "[storage] The data directory works again.";
+  } else {
+    LOG(WARNING) << "[storage] Still failed: " << opened.message() << ".";
+  }
+}
+
+bool
+LogDriver::TellsRetirement(const Consensus::Message& aMessage) const
+{
+  return aMessage.has_hello_reply() && aMessage.hello_reply().retired() &&
+         aMessage.to_storage() == mReplica.mNode.mHardState.mStorage.mValue;
+}
+
+void
+LogDriver::Rejoin()
+{
+  LOG(WARNING) << "[control] This replica was removed while it was away. It joins again as a new one.";
+  mPending.FailAll();
+  absl::Status status = Storage::Clear(PosixFiles(), mSettings.mDataDirectory);
+  if (status.ok()) {
+    Consensus::Settings settings = mReplica.mSettings;
+    settings.mMayForm = false;
+    status = OpenReplica(settings);
+  }
+  if (!status.ok()) {
+    LOG(ERROR) << "[storage] Cannot start again as a new replica: " << status.message() << ".";
+    mReplica.mNode.mFailed = true;
+  }
+}
+
 void
 LogDriver::TakeRequests()
 {
@@ -239,7 +341,7 @@
     if (first.ok()) {
       mPending.Add(index++, mReplica.mNode.mHardState.mTerm, request);
     } else {
-      request->mPromise.set_value({ NotLeading(), {}, 0 });
+      request->mFinish({ NotLeading(), {}, 0 });
     }
   }
   Replication::Perform(mReplica, now, std::move(output));
@@ -281,10 +383,10 @@
   if (reports.reports().empty()) {
     return;
   }
-  for (const ControlAddress& peer : mSettings.mInstances) {
+  for (const Base::InstanceId peer : mReplica.mSettings.mInstances) {
     Consensus::Message message;
     message.set_from(mSettings.mInstance.mValue);
-    message.set_to(peer.mInstance.mValue);
+    message.set_to(peer.mValue);
     *message.mutable_reports() = reports;
     mPeers->Send(message);
   }
@@ -316,7 +418,7 @@
   if (mStopBy == Base::TimePoint()) {
     mStopBy = now + kHandOverLimit;
   }
-  const bool alone = mSettings.mInstances.size() == 1;
+  const bool alone = Consensus::CurrentMembership(mReplica.mNode).replicas_size() <= 1;
   if (mReplica.mNode.mRole != Consensus::Role::Leader || alone || now >= mStopBy) {
     mDone = true;
     return;
@@ -347,7 +449,7 @@
     return;
   }
   for (const RequestPtr& request : found->second) {
-    request->mPromise.set_value({ aConfirmed ? absl::OkStatus() : NotLeading(), {}, 0 });
+    request->mFinish({ aConfirmed ? absl::OkStatus() : NotLeading(), {}, 0 });
   }
   mReads.erase(found);
 }
@@ -360,7 +462,7 @@
     FinishRead(mReads.begin()->first, false);
   }
   for (const RequestPtr& request : mQueue.Take()) {
-    request->mPromise.set_value({ NotLeading(), {}, 0 });
+    request->mFinish({ NotLeading(), {}, 0 });
   }
 }
 
@@ -376,6 +478,11 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   mStatus = std::move(status);
   mLeader = mReplica.mNode.mLeader;
+  mMembers.clear();
+  for (const lw::consensus::Replica& replica :
+       Consensus::CurrentMembership(mReplica.mNode).replicas()) {
+    mMembers.emplace_back(replica.instance());
+  }
 }
 
 } // namespace Control
--- a/src/tools/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -2,18 +2,19 @@
 
 #include "absl/status/status.h"
 #include "base/ids.h"
-#include "configstore.h"
-#include "controlsettings.h"
-#include "peersockets.h"
-#include "posixfiles.h"
+#include "control/configstore.h"
+#include "control/controlsettings.h"
+#include "control/peersockets.h"
+#include "control/posixfiles.h"
+#include "control/requestqueue.h"
 #include "replication/replica.h"
-#include "requestqueue.h"
 
 #include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace Control {
 
@@ -38,6 +39,21 @@
   /// aLimit; the change may then still be accepted.
   ChangeOutcome Apply(const lw::config::Change& aChange, Base::Duration aLimit);
 
+  /// Proposes a change without waiting.
+  void Apply(const lw::config::Change& aChange, FinishCall aFinish);
+
+  /// Confirms without waiting that the store holds everything acknowledged before the call.
+  void ConfirmRead(FinishCall aFinish);
+
+  /// Replaces the control instances that are asked for the log while this one is in no membership.
+  void SetKnownInstances(std::vector<Base::InstanceId> aInstances);
+
+  /// \return false if the log thread has been held up for this long, for example by its disk.
+  bool IsResponsive(Base::Duration aLimit) const;
+
+  /// \return the instances in the membership of the log.
+  std::vector<Base::InstanceId> Members() const;
+
   /// Waits until the store holds everything that was acknowledged before the call.
   absl::Status ConfirmRead(Base::Duration aLimit);
 
@@ -51,6 +67,11 @@
 
 private:
   Replication::ReplicaPorts MakePorts();
+  absl::Status OpenReplica(const Consensus::Settings& aSettings);
+  void TakeKnownInstances();
+  void RecoverReplica();
+  bool TellsRetirement(const Consensus::Message& aMessage) const;
+  void Rejoin();
   void Run();
   void Wait();
   void ReceiveMessages();
@@ -85,10 +106,15 @@
   Base::TimePoint mStopBy;
   bool mDone = false;
   absl::Status mFailure;
+  Base::TimePoint mNextRecovery;
+  /// Nanoseconds of the runtime clock at the last turn of the log thread.
+  std::atomic<int64_t> mLastTurn{ 0 };
 
   mutable std::mutex mMutex;
   lw::operator_api::ControlStatus mStatus;
   Base::InstanceId mLeader;
+  std::vector<Base::InstanceId> mMembers;
+  std::vector<Base::InstanceId> mNewInstances;
 };
 
 } // namespace Control
--- a/src/tools/control/logstatus.cpp
+++ b/src/libs/control/logstatus.cpp
@@ -1,4 +1,4 @@
-#include "logstatus.h"
+#include "control/logstatus.h"
 
 #include <string>
 
--- a/src/tools/control/peersockets.cpp
+++ b/src/libs/control/peersockets.cpp
@@ -1,4 +1,4 @@
-#include "peersockets.h"
+#include "control/peersockets.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -15,6 +15,10 @@
 /// A connection on which nothing arrives for this long is opened again. Without it a connection
 /// that a partition broke silently would be used until the kernel gives up, minutes later.
 constexpr int kHeartbeatMs = 500;
+/// An attempt through a partition would otherwise hang for minutes.
+constexpr int kConnectTimeoutMs = 1000;
+/// Bounds the sockets when instances come and go under new ids.
+constexpr size_t kMaxPeers = 64;
 constexpr int kHeartbeatTimeoutMs = 2000;
 /// Larger than a snapshot piece or an append.
 constexpr int64_t kMaxMessageBytes = int64_t{ 16 } * 1024 * 1024;
@@ -28,41 +32,53 @@
 } // namespace
 
 PeerSockets::PeerSockets(zmq::context_t& aContext, const ControlSettings& aSettings)
-  : mIncoming(aContext, zmq::socket_type::pull)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mIncoming(aContext, zmq::socket_type::pull)
 {
   mIncoming.set(zmq::sockopt::linger, 0);
   mIncoming.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   mIncoming.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   mIncoming.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
-  if (aSettings.mInstances.size() > 1) {
+  if (aSettings.mInstances.size() > 1 || aSettings.mIdsAreAddresses) {
     mIncoming.bind(Address(aSettings.mPeerListen));
   }
-  for (const ControlAddress& peer : aSettings.mInstances) {
-    if (peer.mInstance == aSettings.mInstance) {
-      continue;
-    }
-    zmq::socket_t socket(aContext, zmq::socket_type::push);
-    socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::immediate, 1);
-    socket.set(zmq::sockopt::sndhwm, kQueueLimit);
-    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
-    socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
-    socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
-    socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
-    socket.connect(Address(peer.mPeerAddress));
-    mOutgoing.emplace(peer.mInstance.mValue, std::move(socket));
+}
+
+zmq::socket_t*
+PeerSockets::OutgoingTo(uint32_t aInstance)
+{
+  const auto found = mOutgoing.find(aInstance);
+  if (found != mOutgoing.end()) {
+    return &found->second;
+  }
+  const std::optional<ControlAddress> peer = AddressOf(mSettings, Base::InstanceId(aInstance));
+  if (!peer.has_value() || peer->mInstance == mSettings.mInstance ||
+      mOutgoing.size() >= kMaxPeers) {
+    return nullptr;
   }
+  zmq::socket_t socket(mContext, zmq::socket_type::push);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::immediate, 1);
+  socket.set(zmq::sockopt::sndhwm, kQueueLimit);
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  socket.connect(Address(peer->mPeerAddress));
+  return &mOutgoing.emplace(aInstance, std::move(socket)).first->second;
 }
 
 void
 PeerSockets::Send(const lw::consensus::Message& aMessage)
 {
-  const auto found = mOutgoing.find(aMessage.to());
-  if (found == mOutgoing.end()) {
+  zmq::socket_t* socket = OutgoingTo(aMessage.to());
+  if (socket == nullptr) {
     return;
   }
   const std::string bytes = aMessage.SerializeAsString();
-  found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait);
 }
 
 std::optional<lw::consensus::Message>
--- a/src/tools/control/peersockets.h
+++ b/src/libs/control/peersockets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "controlsettings.h"
+#include "control/controlsettings.h"
 
 #include "consensus.pb.h"
 
@@ -26,6 +26,10 @@
   zmq::socket_t& Incoming() { return mIncoming; }
 
 private:
+  zmq::socket_t* OutgoingTo(uint32_t aInstance);
+
+  zmq::context_t& mContext;
+  const ControlSettings& mSettings;
   zmq::socket_t mIncoming;
   std::map<uint32_t, zmq::socket_t> mOutgoing;
 };
--- a/src/tools/control/posixfiles.cpp
+++ b/src/libs/control/posixfiles.cpp
@@ -1,4 +1,4 @@
-#include "posixfiles.h"
+#include "control/posixfiles.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -173,6 +173,9 @@
 absl::Status
 DirectoryLock::Acquire(const std::string& aPath)
 {
+  if (mDescriptor >= 0) {
+    return absl::OkStatus();
+  }
   const absl::Status made = MakeDirectory(aPath);
   if (!made.ok()) {
     return made;
@@ -182,9 +185,13 @@
     return SystemError("open", aPath);
   }
   if (flock(mDescriptor, LOCK_EX | LOCK_NB) != 0) {
-    return errno == EWOULDBLOCK
-             ? absl::FailedPreconditionError(absl::StrCat("another process uses ", aPath))
-             : SystemError("lock", aPath);
+    const absl::Status refused =
+      errno == EWOULDBLOCK
+        ? absl::FailedPreconditionError(absl::StrCat("another process uses ", aPath))
+        : SystemError("lock", aPath);
+    close(mDescriptor);
+    mDescriptor = -1;
+    return refused;
   }
   return absl::OkStatus();
 }
--- a/src/tools/control/requestqueue.cpp
+++ b/src/libs/control/requestqueue.cpp
@@ -1,9 +1,10 @@
-#include "requestqueue.h"
+#include "control/requestqueue.h"
 
 #include <glog/logging.h>
 
 #include <cerrno>
 #include <cstring>
+#include <future>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <utility>
@@ -42,20 +43,11 @@
 ChangeOutcome
 RequestQueue::Submit(std::string aCommand, Base::Duration aLimit)
 {
-  auto request = std::make_shared<Request>();
-  request->mCommand = std::move(aCommand);
-  std::future<ChangeOutcome> outcome = request->mPromise.get_future();
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    if (mClosed || mRequests.size() >= kMaxRequests) {
-      return { absl::UnavailableError("this control instance is stopping or overloaded"), {}, 0 };
-    }
-    mRequests.push_back(std::move(request));
-    const uint64_t one = 1;
-    if (write(mDescriptor, &one, sizeof(one)) < 0) {
-      LOG(WARNING) << "[control] Wake-up failed: " << std::strerror(errno) << ".";
-    }
-  }
+  // Shared with the log thread, which may finish the call after this one has stopped waiting.
+  auto promise = std::make_shared<std::promise<ChangeOutcome>>();
+  std::future<ChangeOutcome> outcome = promise->get_future();
+  Submit(std::move(aCommand),
+         [promise](const ChangeOutcome& aOutcome) { promise->set_value(aOutcome); });
   if (outcome.wait_for(aLimit) != std::future_status::ready) {
     return { absl::DeadlineExceededError(
                "no outcome yet; resend the change with the same request number"),
@@ -65,6 +57,24 @@
   return outcome.get();
 }
 
+void
+RequestQueue::Submit(std::string aCommand, FinishCall aFinish)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (!mClosed && mRequests.size() < kMaxRequests) {
+      mRequests.push_back(
+        std::make_shared<Request>(Request{ std::move(aCommand), std::move(aFinish) }));
+      const uint64_t one = 1;
+      if (write(mDescriptor, &one, sizeof(one)) < 0) {
+        LOG(WARNING) << "[control] Wake-up failed: " << std::strerror(errno) << ".";
+      }
+      return;
+    }
+  }
+  aFinish({ absl::UnavailableError("this control instance is stopping or overloaded"), {}, 0 });
+}
+
 std::vector<RequestPtr>
 RequestQueue::Take()
 {
@@ -89,7 +99,7 @@
   Pending& pending = mPending[aIndex];
   if (pending.mRequest != nullptr) {
     // Proposed when this instance led before; its entry was replaced.
-    pending.mRequest->mPromise.set_value(LeadershipLost());
+    pending.mRequest->mFinish(LeadershipLost());
   }
   pending = { aTerm, std::move(aRequest) };
 }
@@ -102,7 +112,7 @@
     return;
   }
   const bool own = found->second.mTerm == aTerm;
-  found->second.mRequest->mPromise.set_value(own ? aOutcome : LeadershipLost());
+  found->second.mRequest->mFinish(own ? aOutcome : LeadershipLost());
   mPending.erase(found);
 }
 
@@ -110,7 +120,7 @@
 PendingChanges::FailAll()
 {
   for (auto& [index, pending] : mPending) {
-    pending.mRequest->mPromise.set_value(LeadershipLost());
+    pending.mRequest->mFinish(LeadershipLost());
   }
   mPending.clear();
 }
--- a/src/tools/control/requestqueue.h
+++ b/src/libs/control/requestqueue.h
@@ -4,7 +4,7 @@
 #include "base/ids.h"
 #include "base/runtimeclock.h"
 
-#include <future>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -22,11 +22,14 @@
   uint64_t mCurrentVersion = 0;
 };
 
+/// Receives the outcome of a call, once, on the log thread.
+using FinishCall = std::function<void(const ChangeOutcome&)>;
+
 /// An operator's call. Without a command it is a read.
 struct Request
 {
   std::string mCommand;
-  std::promise<ChangeOutcome> mPromise;
+  FinishCall mFinish;
 };
 
 using RequestPtr = std::shared_ptr<Request>;
@@ -45,6 +48,10 @@
   /// aLimit.
   ChangeOutcome Submit(std::string aCommand, Base::Duration aLimit);
 
+  /// Queues a call without waiting.
+  /// \param aFinish gets Unavailable at once if the queue is full or closed.
+  void Submit(std::string aCommand, FinishCall aFinish);
+
   /// \return the calls that have arrived. Each one must get its outcome.
   std::vector<RequestPtr> Take();
 
--- /dev/null
+++ b/src/libs/directory/announcements.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "directory/upstream.h"
+
+#include "config.pb.h"
+#include "fleet.pb.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Directory {
+
+/// One announcement of an upstream.
+struct Announcement
+{
+  Upstream mUpstream;
+  /// Grows with each announcement of one start, so that a late one is recognised.
+  uint64_t mSequence = 0;
+};
+
+/// What an announcement changed.
+enum class AnnounceOutcome
+{
+  /// The first one of this start, or its state or address changed.
+  Changed,
+  Renewed,
+  /// Older than what is known, so nothing changed.
+  Stale
+};
+
+/// One start of an upstream, as a control instance knows it.
+struct AnnouncedUpstream
+{
+  Upstream mUpstream;
+  uint64_t mSequence = 0;
+  Base::TimePoint mHeardAt;
+  /// Table revisions of the last change and of the last announcement.
+  uint64_t mChangedIn = 0;
+  uint64_t mRenewedIn = 0;
+};
+
+/// Upstreams that announced themselves to this control instance, and departures from the log.
+/// Owned by one control instance, bounded by kMaxAnnounced. Lost with the process; the upstreams
+/// announce themselves again.
+struct AnnouncementTable
+{
+  /// Tells apart two runs of the control instance; revisions of different epochs do not compare.
+  uint64_t mEpoch = 0;
+  uint64_t mRevision = 0;
+  std::map<UpstreamId, AnnouncedUpstream> mUpstreams;
+};
+
+/// Takes an announcement. A newer start replaces an older one under the same id.
+AnnounceOutcome
+Announce(AnnouncementTable& aTable, const Announcement& aAnnouncement, Base::TimePoint aNow);
+
+/// Marks one start of an upstream as gone for new flows. Later announcements of it change nothing.
+void
+MarkDeparted(AnnouncementTable& aTable,
+             const lw::config::Departure& aDeparture,
+             Base::TimePoint aNow);
+
+/// Forgets upstreams that were silent for so long that no instance uses them any more.
+void
+ForgetSilent(AnnouncementTable& aTable, Base::TimePoint aNow);
+
+/// Adds what changed since the poller's position.
+void
+FillReply(const AnnouncementTable& aTable,
+          const lw::fleet::Poll& aPoll,
+          Base::TimePoint aNow,
+          lw::fleet::PollReply& aReply);
+
+} // namespace Directory
--- /dev/null
+++ b/src/libs/fleet/directoryservice.cpp
@@ -0,0 +1,116 @@
+#include "fleet/directoryservice.h"
+
+#include "base/hash.h"
+
+#include <chrono>
+
+namespace Fleet {
+
+namespace {
+
+/// A log thread that is held up longer, for example by its disk, does not count as connected.
+constexpr std::chrono::milliseconds kResponsiveLimit{ 500 };
+/// Entry instances that have not polled for this long are no peers any more.
+constexpr std::chrono::seconds kPollerLifetime{ 3 };
+
+} // namespace
+
+DirectoryService::DirectoryService(const Control::ConfigStore& aStore,
+                                   const Control::LogDriver& aLog,
+                                   uint64_t aEpoch)
+  : mStore(aStore)
+  , mLog(aLog)
+{
+  mTable.mEpoch = aEpoch;
+}
+
+Directory::AnnounceOutcome
+DirectoryService::Announce(const Directory::Announcement& aAnnouncement)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Directory::ForgetSilent(mTable, now);
+  return Directory::Announce(mTable, aAnnouncement, now);
+}
+
+void
+DirectoryService::Leave(const lw::config::Departure& aDeparture)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Directory::MarkDeparted(mTable, aDeparture, Base::RuntimeClock::now());
+}
+
+std::optional<uint64_t>
+DirectoryService::StartOf(Directory::UpstreamId aId) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mTable.mUpstreams.find(aId);
+  if (found == mTable.mUpstreams.end()) {
+    return std::nullopt;
+  }
+  return found->second.mUpstream.mStartedAtMs;
+}
+
+lw::fleet::PollReply
+DirectoryService::Answer(const lw::fleet::Poll& aPoll)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  TakeLogState(now);
+  lw::fleet::PollReply reply;
+  reply.set_number(aPoll.number());
+  reply.set_connected(mLog.IsConnected() && mLog.IsResponsive(kResponsiveLimit));
+  Directory::FillReply(mTable, aPoll, now, reply);
+  if (mDeclaration.version() > aPoll.declared_version()) {
+    *reply.mutable_declaration() = mDeclaration;
+  }
+  for (const Base::InstanceId instance : mLog.Members()) {
+    reply.add_control_instances(instance.mValue);
+  }
+  FillPeers(aPoll, now, reply);
+  return reply;
+}
+
+void
+DirectoryService::TakeLogState(Base::TimePoint aNow)
+{
+  const uint64_t version = mStore.Version();
+  if (version == mStoreVersion) {
+    return;
+  }
+  const lw::config::State state = mStore.State();
+  mStoreVersion = state.version();
+  for (const lw::config::Departure& departure : state.departures()) {
+    Directory::MarkDeparted(mTable, departure, aNow);
+  }
+  if (state.declaration().version() > mDeclaration.version()) {
+    mDeclaration = state.declaration();
+    mDeclaration.clear_document();
+  }
+}
+
+void
+DirectoryService::FillPeers(const lw::fleet::Poll& aPoll,
+                            Base::TimePoint aNow,
+                            lw::fleet::PollReply& aReply)
+{
+  mPollers[aPoll.instance()] = { aPoll.availability_zone(), aNow };
+  uint64_t hash = 1;
+  for (auto item = mPollers.begin(); item != mPollers.end();) {
+    if (aNow - item->second.mPolledAt > kPollerLifetime) {
+      item = mPollers.erase(item);
+      continue;
+    }
+    if (item->second.mAvailabilityZone == aPoll.availability_zone()) {
+      aReply.add_peers(item->first);
+      hash = Base::StableHash({ hash, item->first });
+    }
+    ++item;
+  }
+  aReply.set_peers_hash(hash);
+  if (hash == aPoll.peers_hash()) {
+    aReply.clear_peers();
+  }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/directoryservice.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "control/configstore.h"
+#include "control/logdriver.h"
+#include "directory/announcements.h"
+
+#include "fleet.pb.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace Fleet {
+
+/// Directory of announced upstreams at a control instance, joined with what the log holds. Used by
+/// the thread of the announcements and by that of the polls.
+class DirectoryService
+{
+public:
+  /// \param aEpoch is random for each run.
+  DirectoryService(const Control::ConfigStore& aStore,
+                   const Control::LogDriver& aLog,
+                   uint64_t aEpoch);
+
+  Directory::AnnounceOutcome Announce(const Directory::Announcement& aAnnouncement);
+
+  /// Takes an upstream out of use at once, as the upstream asked, before the log has it.
+  void Leave(const lw::config::Departure& aDeparture);
+
+  /// \return the newest start that is known under an id.
+  std::optional<uint64_t> StartOf(Directory::UpstreamId aId) const;
+
+  /// Answers a poll of an entry instance.
+  lw::fleet::PollReply Answer(const lw::fleet::Poll& aPoll);
+
+private:
+  struct Poller
+  {
+    std::string mAvailabilityZone;
+    Base::TimePoint mPolledAt;
+  };
+
+  void TakeLogState(Base::TimePoint aNow);
+  void FillPeers(const lw::fleet::Poll& aPoll, Base::TimePoint aNow, lw::fleet::PollReply& aReply);
+
+  const Control::ConfigStore& mStore;
+  const Control::LogDriver& mLog;
+  mutable std::mutex mMutex;
+  Directory::AnnouncementTable mTable;
+  /// Version of the store that mTable and mDeclaration reflect.
+  uint64_t mStoreVersion = 0;
+  lw::config::Declaration mDeclaration;
+  std::map<uint32_t, Poller> mPollers;
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/entrynode.cpp
@@ -0,0 +1,235 @@
+#include "fleet/entrynode.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+
+namespace Fleet {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr std::chrono::milliseconds kTickInterval{ 100 };
+/// Load reports handled before packets get their turn.
+constexpr int kMaxReportsPerTurn = 32;
+constexpr size_t kMaxReportBytes = 8192;
+
+int64_t
+Milliseconds(Base::Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+std::string
+FlowName(const Steering::FlowKey& aFlow)
+{
+  return absl::StrCat(Base::ToString(aFlow.mCaller), ">", Base::ToString(aFlow.mService));
+}
+
+} // namespace
+
+EntryNode::EntryNode(asio::io_context& aContext,
+                     const EntryNodeSettings& aSettings,
+                     EventLog::Log& aEvents,
+                     Metrics::Registry& aMetrics)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mEvents(aEvents)
+  , mMetrics(aMetrics)
+  , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
+  , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
+  , mHandshakes(aMetrics.HistogramFor("flow_open_ms"))
+  , mPoller(aSettings.mPoller,
+            [this](const PollEvent& aEvent) {
+              asio::post(mContext, [this, aEvent] { HandlePoll(aEvent); });
+            })
+  , mReportSocket(aContext)
+  , mTimer(aContext)
+{
+  mState.mRandom.mState = aSettings.mSeed;
+  mIncarnation = Base::NextRandom(mState.mRandom);
+  for (size_t i = 0; i < mDecisions.size(); ++i) {
+    const char* reason = Steering::ToString(static_cast<Steering::Reason>(i));
+    mDecisions[i] = &mMetrics.CounterFor(absl::StrCat("packets_total{reason=\"", reason, "\"}"));
+  }
+}
+
+absl::Status
+EntryNode::Start(const std::vector<Base::InstanceId>& aSeeds)
+{
+  const Base::Endpoint& listen = mSettings.mLoadReportListen;
+  boost::system::error_code error;
+  mReportSocket.open(udp::v4(), error);
+  if (!error) {
+    mReportSocket.bind({ asio::ip::address_v4(listen.mAddress), listen.mPort }, error);
+  }
+  if (!error) {
+    mReportSocket.non_blocking(true, error);
+  }
+  if (error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", Base::ToString(listen), ": ", error.message()));
+  }
+  mPoller.SetSeeds(aSeeds);
+  mPoller.Start();
+  WaitForReport();
+  WaitForTick();
+  return absl::OkStatus();
+}
+
+void
+EntryNode::Stop()
+{
+  mPoller.Stop();
+  mTimer.cancel();
+  boost::system::error_code ignored; // The process ends; nothing depends on the socket any more.
+  mReportSocket.close(ignored);
+}
+
+Steering::Decision
+EntryNode::Steer(const Steering::Packet& aPacket)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const Steering::Decision decision =
+    Steering::Steer(mState, mSettings.mSteering, aPacket, now);
+  mDecisions[static_cast<size_t>(decision.mReason)]->Add();
+  if (decision.mHandshake.has_value()) {
+    mHandshakes.Observe(*decision.mHandshake);
+  }
+  if (decision.mReason != Steering::Reason::Tagged) {
+    LogDecision(aPacket, decision);
+  }
+  return decision;
+}
+
+void
+EntryNode::LogDecision(const Steering::Packet& aPacket, const Steering::Decision& aDecision)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  EventLog::Line line(Steering::ToString(aDecision.mReason));
+  line.Add("flow", FlowName(aPacket.mFlow))
+    .Add("action", Steering::ToString(aDecision.mAction))
+    .Add("config_version", static_cast<int64_t>(mState.mRoutes.mVersion))
+    .Add("control_age_ms", Milliseconds(now - mState.mConnectedAt));
+  if (aDecision.mAction == Steering::Action::Forward) {
+    line.Add("upstream", absl::StrCat(absl::Hex(aDecision.mUpstream.mValue)))
+      .Add("address", Base::ToString(aDecision.mAddress))
+      .Add("candidates", static_cast<int64_t>(aDecision.mCandidates))
+      .Add("outstanding", aDecision.mOutstanding)
+      .Add("announced_age_ms", Milliseconds(aDecision.mDirectoryAge));
+  } else {
+    line.Add("tag", aPacket.mTag.mValue);
+  }
+  mEvents.Add(line, now);
+}
+
+void
+EntryNode::HandlePoll(const PollEvent& aEvent)
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const std::string control = Base::ToString(Base::Endpoint{ aEvent.mControl.mValue, 0 });
+  if (!aEvent.mReply.has_value()) {
+    mEvents.Add(EventLog::Line("control_lost").Add("control", control), now);
+    return;
+  }
+  if (aEvent.mRegained) {
+    mEvents.Add(EventLog::Line("control_regained").Add("control", control), now);
+  }
+  if (Steering::TakeReply(mState, *aEvent.mReply, now)) {
+    mPoller.SetDeclaredVersion(mState.mRoutes.mVersion);
+    mVersionGauge.Set(static_cast<int64_t>(mState.mRoutes.mVersion));
+    mEvents.Add(EventLog::Line("config_in_force")
+                  .Add("version", static_cast<int64_t>(mState.mRoutes.mVersion))
+                  .Add("routes", static_cast<int64_t>(mState.mRoutes.mRoutes.size()))
+                  .Add("control", control),
+                now);
+  }
+  for (const lw::fleet::Upstream& upstream : aEvent.mReply->upstreams()) {
+    mEvents.Add(EventLog::Line("upstream")
+                  .Add("upstream", absl::StrCat(absl::Hex(upstream.id())))
+                  .Add("started_at_ms", static_cast<int64_t>(upstream.started_at_ms()))
+                  .Add("state", lw::fleet::UpstreamState_Name(upstream.state()))
+                  .Add("age_ms", upstream.age_ms())
+                  .Add("control", control),
+                now);
+  }
+  if (aEvent.mReply->peers_size() > 0) {
+    mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
+  }
+  mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
+}
+
+void
+EntryNode::WaitForTick()
+{
+  mTimer.expires_after(kTickInterval);
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    const Base::TimePoint now = Base::RuntimeClock::now();
+    Steering::Expire(mState, now);
+    SendReports();
+    mEvents.Flush(now);
+    WaitForTick();
+  });
+}
+
+void
+EntryNode::SendReports()
+{
+  lw::fleet::LoadReport report = Steering::MakeReport(mState.mLoads, Base::RuntimeClock::now());
+  report.set_instance(mSettings.mLoadReportListen.mAddress);
+  report.set_incarnation(mIncarnation);
+  report.set_sequence(++mReportSequence);
+  const std::string bytes = report.SerializeAsString();
+  for (const uint32_t peer : mPeers) {
+    if (peer != mSettings.mLoadReportListen.mAddress) {
+      boost::system::error_code ignored; // A lost report is followed by the next one.
+      mReportSocket.send_to(
+        asio::buffer(bytes),
+        { asio::ip::address_v4(peer), mSettings.mLoadReportListen.mPort },
+        0,
+        ignored);
+    }
+  }
+}
+
+void
+EntryNode::WaitForReport()
+{
+  mReportSocket.async_wait(udp::socket::wait_read, [this](boost::system::error_code aError) {
+    if (!aError) {
+      ReceiveReports();
+      WaitForReport();
+    }
+  });
+}
+
+void
+EntryNode::ReceiveReports()
+{
+  std::array<char, kMaxReportBytes> bytes{};
+  for (int i = 0; i < kMaxReportsPerTurn; ++i) {
+    udp::endpoint sender;
+    boost::system::error_code error;
+    const size_t size = mReportSocket.receive_from(asio::buffer(bytes), sender, 0, error);
+    if (error) {
+      return;
+    }
+    lw::fleet::LoadReport report;
+    const bool genuine = report.ParseFromArray(bytes.data(), static_cast<int>(size)) &&
+                         report.instance() == sender.address().to_v4().to_uint();
+    if (genuine) {
+      Steering::TakeReport(mState.mReports, mState.mLoads, report, Base::RuntimeClock::now());
+    } else {
+      mMetrics.CounterFor("load_reports_malformed_total").Add();
+    }
+  }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/pollserver.cpp
@@ -0,0 +1,93 @@
+#include "fleet/pollserver.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <glog/logging.h>
+#include <zmq_addon.hpp>
+
+#include <array>
+#include <chrono>
+#include <vector>
+
+namespace Fleet {
+
+namespace {
+
+constexpr std::chrono::milliseconds kStopPoll{ 500 };
+constexpr int64_t kMaxMessageBytes = int64_t{ 64 } * 1024;
+/// Identity and poll.
+constexpr size_t kFrames = 2;
+
+} // namespace
+
+PollServer::PollServer(DirectoryService& aDirectory, const Base::Endpoint& aListen)
+  : mDirectory(aDirectory)
+  , mListen(aListen)
+  , mSocket(mContext, zmq::socket_type::router)
+{
+}
+
+PollServer::~PollServer()
+{
+  Stop();
+}
+
+absl::Status
+PollServer::Start()
+{
+  mSocket.set(zmq::sockopt::linger, 0);
+  mSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  try {
+    mSocket.bind(absl::StrCat("tcp://", Base::ToString(mListen)));
+  } catch (const zmq::error_t& error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", Base::ToString(mListen), ": ", error.what()));
+  }
+  mThread = std::thread([this] { Run(); });
+  return absl::OkStatus();
+}
+
+void
+PollServer::Stop()
+{
+  mStopping = true;
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+PollServer::Run()
+{
+  while (!mStopping) {
+    zmq::pollitem_t items[] = { { mSocket.handle(), 0, ZMQ_POLLIN, 0 } };
+    zmq::poll(items, 1, kStopPoll);
+    if ((items[0].revents & ZMQ_POLLIN) != 0) {
+      AnswerWaiting();
+    }
+  }
+}
+
+void
+PollServer::AnswerWaiting()
+{
+  std::vector<zmq::message_t> frames;
+  while (zmq::recv_multipart(mSocket, std::back_inserter(frames), zmq::recv_flags::dontwait)) {
+    lw::fleet::Poll poll;
+    const bool valid = frames.size() == kFrames &&
+                       poll.ParseFromArray(frames[1].data(), static_cast<int>(frames[1].size()));
+    if (valid) {
+      const std::string bytes = mDirectory.Answer(poll).SerializeAsString();
+      const std::array<zmq::const_buffer, kFrames> reply{ zmq::buffer(frames[0].to_string_view()),
+                                                          zmq::buffer(bytes) };
+      if (!zmq::send_multipart(mSocket, reply, zmq::send_flags::dontwait)) {
+        LOG_EVERY_N(INFO, 100) << "[directory] A poller is gone or reads too slowly.";
+      }
+    } else {
+      LOG_EVERY_N(WARNING, 100) << "[directory] Malformed poll ignored.";
+    }
+    frames.clear();
+  }
+}
+
+} // namespace Fleet
--- a/src/libs/metrics/registry.cpp
+++ b/src/libs/metrics/registry.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace Metrics {
 
 namespace {
@@ -76,6 +78,32 @@
   return mValue;
 }
 
+void
+Histogram::Observe(std::chrono::nanoseconds aDuration)
+{
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  const auto* bound = std::lower_bound(kBoundsMs.begin(), kBoundsMs.end(), count);
+  mCounts[static_cast<size_t>(bound - kBoundsMs.begin())].fetch_add(1, std::memory_order_relaxed);
+  const auto micro = std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
+  mSumMicroseconds.fetch_add(static_cast<uint64_t>(std::max<int64_t>(micro, 0)),
+                             std::memory_order_relaxed);
+}
+
+void
+Histogram::AppendText(const std::string& aName, std::string& aText) const
+{
+  absl::StrAppend(&aText, "# TYPE ", aName, " histogram\n");
+  uint64_t sum = 0;
+  for (size_t i = 0; i < mCounts.size(); ++i) {
+    sum += mCounts[i].load(std::memory_order_relaxed);
+    const std::string bound = i < kBoundsMs.size() ? absl::StrCat(kBoundsMs[i]) : "+Inf";
+    absl::StrAppend(&aText, aName, "_bucket{le=\"", bound, "\"} ", sum, "\n");
+  }
+  const uint64_t micro = mSumMicroseconds.load(std::memory_order_relaxed);
+  absl::StrAppend(&aText, aName, "_sum ", static_cast<double>(micro) / 1000, "\n");
+  absl::StrAppend(&aText, aName, "_count ", sum, "\n");
+}
+
 Counter&
 Registry::CounterFor(const std::string& aName)
 {
@@ -90,6 +118,13 @@
   return FindOrAdd(mGauges, aName);
 }
 
+Histogram&
+Registry::HistogramFor(const std::string& aName)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return FindOrAdd(mHistograms, aName);
+}
+
 std::string
 Registry::PrometheusText() const
 {
@@ -97,6 +132,9 @@
   std::string text;
   AppendValues(mCounters, "counter", text);
   AppendValues(mGauges, "gauge", text);
+  for (const auto& [name, histogram] : mHistograms) {
+    histogram->AppendText(name, text);
+  }
   return text;
 }
 
--- a/src/libs/metrics/registry.h
+++ b/src/libs/metrics/registry.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -41,6 +42,24 @@
   std::atomic<int64_t> mValue{ 0 };
 };
 
+/// Distribution of durations in fixed buckets, in milliseconds.
+class Histogram
+{
+public:
+  /// Upper bounds of the buckets; longer durations are counted without one.
+  static constexpr std::array<int64_t, 10> kBoundsMs{ 1,   2,   5,    10,   25,
+                                                      50, 100, 250, 1000, 5000 };
+
+  void Observe(std::chrono::nanoseconds aDuration);
+
+  /// Appends the lines of the Prometheus text format.
+  void AppendText(const std::string& aName, std::string& aText) const;
+
+private:
+  std::array<std::atomic<uint64_t>, kBoundsMs.size() + 1> mCounts{};
+  std::atomic<uint64_t> mSumMicroseconds{ 0 };
+};
+
 /// Names the counters of a program. Look a counter up once and keep the reference; it stays valid
 /// for the life of the registry.
 class Registry
@@ -50,6 +69,8 @@
   /// drops_total{reason="malformed"}.
   Counter& CounterFor(const std::string& aName);
   Gauge& GaugeFor(const std::string& aName);
+  /// \param aName without labels.
+  Histogram& HistogramFor(const std::string& aName);
 
   /// \return all values in the Prometheus text format, sorted by name.
   std::string PrometheusText() const;
@@ -58,6 +79,7 @@
   mutable std::mutex mMutex;
   std::map<std::string, std::unique_ptr<Counter>> mCounters;
   std::map<std::string, std::unique_ptr<Gauge>> mGauges;
+  std::map<std::string, std::unique_ptr<Histogram>> mHistograms;
 };
 
 } // namespace Metrics
--- /dev/null
+++ b/src/libs/steering/loadreports.cpp
@@ -0,0 +1,85 @@
+#include "steering/loadreports.h"
+
+#include <chrono>
+
+namespace Steering {
+
+namespace {
+
+/// Several report intervals; older figures say nothing of work that takes some ten milliseconds.
+constexpr std::chrono::milliseconds kReportLifetime{ 1000 };
+
+enum class Sign
+{
+  Add,
+  Remove
+};
+
+void
+Count(LoadTable& aTable, const lw::fleet::LoadReport& aReport, Sign aSign)
+{
+  for (const lw::fleet::UpstreamLoad& reported : aReport.loads()) {
+    Load& load = aTable.mByTag[Directory::RouteTag(reported.tag())];
+    const uint32_t suspended = reported.suspended() ? 1 : 0;
+    if (aSign == Sign::Add) {
+      load.mPeers += reported.outstanding();
+      load.mSuspendedByPeers += suspended;
+    } else {
+      load.mPeers -= reported.outstanding();
+      load.mSuspendedByPeers -= suspended;
+    }
+  }
+}
+
+} // namespace
+
+lw::fleet::LoadReport
+MakeReport(const LoadTable& aTable, Base::TimePoint aNow)
+{
+  lw::fleet::LoadReport report;
+  for (const auto& [tag, load] : aTable.mByTag) {
+    const bool suspended = aNow < load.mSuspendedUntil;
+    if (load.mOwn == 0 && !suspended) {
+      continue;
+    }
+    lw::fleet::UpstreamLoad* reported = report.add_loads();
+    reported->set_tag(tag.mValue);
+    reported->set_outstanding(load.mOwn);
+    reported->set_suspended(suspended);
+  }
+  return report;
+}
+
+void
+TakeReport(PeerReports& aReports,
+           LoadTable& aTable,
+           const lw::fleet::LoadReport& aReport,
+           Base::TimePoint aNow)
+{
+  const auto [known, added] = aReports.mByInstance.try_emplace(aReport.instance());
+  PeerReports::Entry& entry = known->second;
+  if (!added) {
+    const bool sameRun = entry.mReport.incarnation() == aReport.incarnation();
+    if (sameRun && entry.mReport.sequence() >= aReport.sequence()) {
+      return;
+    }
+    Count(aTable, entry.mReport, Sign::Remove);
+  }
+  entry = { aReport, aNow };
+  Count(aTable, aReport, Sign::Add);
+}
+
+void
+ExpireReports(PeerReports& aReports, LoadTable& aTable, Base::TimePoint aNow)
+{
+  for (auto item = aReports.mByInstance.begin(); item != aReports.mByInstance.end();) {
+    if (aNow - item->second.mReceivedAt < kReportLifetime) {
+      ++item;
+      continue;
+    }
+    Count(aTable, item->second.mReport, Sign::Remove);
+    item = aReports.mByInstance.erase(item);
+  }
+}
+
+} // namespace Steering
--- a/src/libs/storage/directory.cpp
+++ b/src/libs/storage/directory.cpp
@@ -244,6 +244,31 @@
   return opened;
 }
 
+absl::Status
+Clear(const FilePort& aPort, const std::string& aPath)
+{
+  const absl::StatusOr<std::vector<std::string>> names = aPort.mList(aPath);
+  if (!names.ok()) {
+    return names.status();
+  }
+  Directory directory;
+  directory.mPort = aPort;
+  directory.mPath = aPath;
+  Operations operations(directory);
+  for (const std::string& name : *names) {
+    if (name != kTermFile) {
+      operations.Then([&](FilePort& aFiles) { return aFiles.mRemove(PathOf(directory, name)); });
+    }
+  }
+  // A log without the term file counts as damage, so that file goes last.
+  operations.Then([&](FilePort& aFiles) { return aFiles.mSyncDirectory(aPath); });
+  if (std::find(names->begin(), names->end(), kTermFile) != names->end()) {
+    operations.Then([&](FilePort& aFiles) { return aFiles.mRemove(PathOf(directory, kTermFile)); })
+      .Then([&](FilePort& aFiles) { return aFiles.mSyncDirectory(aPath); });
+  }
+  return operations.Result();
+}
+
 absl::Status
 SaveHardState(Directory& aDirectory, const Consensus::HardState& aState)
 {
--- a/src/libs/storage/directory.h
+++ b/src/libs/storage/directory.h
@@ -66,6 +66,11 @@
 absl::StatusOr<Opened>
 Open(const FilePort& aPort, const std::string& aPath, Consensus::StorageId aNewStorage);
 
+/// Removes everything that Open reads, so that the next Open finds a new directory. OK only once
+/// that is durable.
+absl::Status
+Clear(const FilePort& aPort, const std::string& aPath);
+
 /// Replaces the term/vote file. OK only once it is durable.
 absl::Status
 SaveHardState(Directory& aDirectory, const Consensus::HardState& aState);
--- a/src/tools/control/feedserver.h
+++ b/src/tools/control/feedserver.h
@@ -2,8 +2,8 @@
 
 #include "base/endpoint.h"
 #include "base/runtimeclock.h"
-#include "configstore.h"
-#include "logdriver.h"
+#include "control/configstore.h"
+#include "control/logdriver.h"
 
 #include <atomic>
 #include <list>
--- a/src/tools/control/inspect.cpp
+++ b/src/tools/control/inspect.cpp
@@ -1,7 +1,7 @@
 #include "inspect.h"
 
 #include "config/logstate.h"
-#include "posixfiles.h"
+#include "control/posixfiles.h"
 #include "program/startup.h"
 #include "storage/directory.h"
 
--- a/src/tools/control/operatorservice.h
+++ b/src/tools/control/operatorservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/endpoint.h"
-#include "configstore.h"
-#include "logdriver.h"
+#include "control/configstore.h"
+#include "control/logdriver.h"
 
 #include "operator.grpc.pb.h"
 
--- a/src/tools/measure/consensusmeasure.cpp
+++ b/src/tools/measure/consensusmeasure.cpp
@@ -1,6 +1,6 @@
 #include "consensusmeasure.h"
 
-#include "../control/posixfiles.h"
+#include "control/posixfiles.h"
 #include "measurecluster.h"
 #include "program/startup.h"
 
--- a/tests/auto/control/tst_posixfiles.cpp
+++ b/tests/auto/control/tst_posixfiles.cpp
@@ -1,4 +1,4 @@
-#include "../../../src/tools/control/posixfiles.h"
+#include "control/posixfiles.h"
 
 #include "storage/directory.h"
 
