Store announced upstreams, avoid silent ones sooner, and test the new libraries

Change: control instances keep a copy of the directory on disk and use it once the log is connected; an upstream is suspended at its first opening packet that is unanswered for 80 ms, a remote availability zone as a whole; remote upstreams are used only while the own ones are busy; no reset while the directory may be incomplete.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(find src tests -name '*.cpp' -not -path '*/generated/*' | sort)
+  mapfile -t files < <(find src platform tests -name '*.cpp' -not -path '*/generated/*' | sort)
 fi
 printf '%s\0' "${files[@]}" |
   xargs -0 -n 1 -P "${LW_LINT_JOBS:-8}" clang-tidy -p "$build" --quiet 2>/dev/null
--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -128,9 +128,9 @@
       return Wrong("routes.services", absl::StrCat("names no service \"", target.service(), "\""));
     }
   }
-  return weight > 0 ? absl::OkStatus()
-                    : Wrong("routes.services",
-                            absl::StrCat("of \"", aRoute.name(), "\" have no weight"));
+  return weight > 0
+           ? absl::OkStatus()
+           : Wrong("routes.services", absl::StrCat("of \"", aRoute.name(), "\" have no weight"));
 }
 
 } // namespace
--- a/src/libs/consensus/membership.cpp
+++ b/src/libs/consensus/membership.cpp
@@ -89,10 +89,9 @@
 std::optional<Membership>
 AddLearner(const RepairInput& aInput, Base::InstanceId aInstance, StorageId aStorage)
 {
-  const bool known =
-    aInput.mOpen ||
-    std::find(aInput.mKnownInstances.begin(), aInput.mKnownInstances.end(), aInstance) !=
-    aInput.mKnownInstances.end();
+  const bool known = aInput.mOpen || std::find(aInput.mKnownInstances.begin(),
+                                               aInput.mKnownInstances.end(),
+                                               aInstance) != aInput.mKnownInstances.end();
   if (!known || FindReplica(aInput.mMembership, aStorage) != nullptr ||
       IsRetired(aInput.mMembership, aStorage)) {
     return std::nullopt;
--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -294,7 +294,8 @@
 void
 LogDriver::Rejoin()
 {
-  LOG(WARNING) << "[control] This replica was removed while it was away. It joins again as a new one.";
+  LOG(WARNING)
+    << "[control] This replica was removed while it was away. It joins again as a new one.";
   mPending.FailAll();
   absl::Status status = Storage::Clear(PosixFiles(), mSettings.mDataDirectory);
   if (status.ok()) {
--- a/src/libs/directory/announcements.cpp
+++ b/src/libs/directory/announcements.cpp
@@ -31,7 +31,7 @@
     if (aTable.mUpstreams.size() >= kMaxAnnounced) {
       return AnnounceOutcome::Stale;
     }
-    ++aTable.mRevision;
+    aTable.mChangedRevision = ++aTable.mRevision;
     aTable.mUpstreams[upstream.mId] = {
       upstream, aAnnouncement.mSequence, aNow, aTable.mRevision, aTable.mRevision
     };
@@ -58,6 +58,7 @@
   known.mRenewedIn = aTable.mRevision;
   if (changed) {
     known.mChangedIn = aTable.mRevision;
+    aTable.mChangedRevision = aTable.mRevision;
   }
   return changed ? AnnounceOutcome::Changed : AnnounceOutcome::Renewed;
 }
@@ -82,6 +83,7 @@
   if (known.mUpstream.mState == State::Ready || known.mChangedIn == 0) {
     known.mUpstream.mState = std::max(known.mUpstream.mState, State::Draining);
     known.mChangedIn = ++aTable.mRevision;
+    aTable.mChangedRevision = aTable.mRevision;
     known.mRenewedIn = known.mChangedIn;
   }
 }
@@ -103,8 +105,7 @@
           Base::TimePoint aNow,
           lw::fleet::PollReply& aReply)
 {
-  const uint64_t known =
-    aPoll.directory_epoch() == aTable.mEpoch ? aPoll.directory_revision() : 0;
+  const uint64_t known = aPoll.directory_epoch() == aTable.mEpoch ? aPoll.directory_revision() : 0;
   aReply.set_directory_epoch(aTable.mEpoch);
   aReply.set_directory_revision(aTable.mRevision);
   for (const auto& [id, announced] : aTable.mUpstreams) {
@@ -114,8 +115,8 @@
     } else if (announced.mRenewedIn > known) {
       lw::fleet::Renewal* renewal = aReply.add_renewals();
       renewal->set_tag(TagOf(id, announced.mUpstream.mStartedAtMs).mValue);
-      renewal->set_age_ms(static_cast<uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+      renewal->set_age_ms(
+        static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
     }
   }
 }
--- a/src/libs/directory/announcements.h
+++ b/src/libs/directory/announcements.h
@@ -48,6 +48,8 @@
   /// Tells apart two runs of the control instance; revisions of different epochs do not compare.
   uint64_t mEpoch = 0;
   uint64_t mRevision = 0;
+  /// Revision of the newest change other than a renewal.
+  uint64_t mChangedRevision = 0;
   std::map<UpstreamId, AnnouncedUpstream> mUpstreams;
 };
 
--- a/src/libs/eventlog/log.cpp
+++ b/src/libs/eventlog/log.cpp
@@ -86,9 +86,8 @@
 {
   for (auto& [name, kind] : mKinds) {
     if (kind.mSuppressed > 0 && aNow - kind.mSecond >= kSecond) {
-      Append("suppressed",
-             absl::StrCat(",\"kind\":\"", name, "\",\"lines\":", kind.mSuppressed),
-             aNow);
+      Append(
+        "suppressed", absl::StrCat(",\"kind\":\"", name, "\",\"lines\":", kind.mSuppressed), aNow);
       kind.mSuppressed = 0;
     }
   }
--- a/src/libs/eventlog/log.h
+++ b/src/libs/eventlog/log.h
@@ -20,7 +20,8 @@
   uint32_t mLinesPerSecond = 100;
 };
 
-/// Structured log with bounded volume that never blocks its callers. May be used by several threads.
+/// Structured log with bounded volume that never blocks its callers. May be used by several
+/// threads.
 class Log
 {
 public:
--- a/src/libs/fleet/directoryservice.cpp
+++ b/src/libs/fleet/directoryservice.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <chrono>
+#include <utility>
 
 namespace Fleet {
 
@@ -60,6 +61,9 @@
   lw::fleet::PollReply reply;
   reply.set_number(aPoll.number());
   reply.set_connected(mLog.IsConnected() && mLog.IsResponsive(kResponsiveLimit));
+  if (reply.connected() && mStoreVersion > 0) {
+    TakeRestored(now);
+  }
   Directory::FillReply(mTable, aPoll, now, reply);
   if (mDeclaration.version() > aPoll.declared_version()) {
     *reply.mutable_declaration() = mDeclaration;
@@ -71,6 +75,40 @@
   return reply;
 }
 
+lw::fleet::PollReply
+DirectoryService::Upstreams() const
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  lw::fleet::PollReply reply;
+  reply.set_directory_revision(mTable.mChangedRevision);
+  for (const auto& [id, announced] : mTable.mUpstreams) {
+    if (announced.mUpstream.mState == Directory::State::Ready) {
+      *reply.add_upstreams() =
+        Directory::ToMessage(announced.mUpstream, now - announced.mHeardAt, now);
+    }
+  }
+  return reply;
+}
+
+void
+DirectoryService::Restore(lw::fleet::PollReply aUpstreams)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mRestored = std::move(aUpstreams);
+}
+
+void
+DirectoryService::TakeRestored(Base::TimePoint aNow)
+{
+  for (const lw::fleet::Upstream& message : mRestored.upstreams()) {
+    if (mTable.mUpstreams.count(Directory::UpstreamId(message.id())) == 0) {
+      Directory::Announce(mTable, { Directory::FromMessage(message, aNow), 0 }, aNow);
+    }
+  }
+  mRestored.Clear();
+}
+
 void
 DirectoryService::TakeLogState(Base::TimePoint aNow)
 {
--- a/src/libs/fleet/directoryservice.h
+++ b/src/libs/fleet/directoryservice.h
@@ -31,6 +31,13 @@
   /// \return the newest start that is known under an id.
   std::optional<uint64_t> StartOf(Directory::UpstreamId aId) const;
 
+  /// \return the upstreams that are ready, and the revision of the newest change.
+  lw::fleet::PollReply Upstreams() const;
+
+  /// Sets the upstreams of an earlier run. They are used once the log is connected, so that their
+  /// departures are known, and count as announced then.
+  void Restore(lw::fleet::PollReply aUpstreams);
+
   /// Answers a poll of an entry instance.
   lw::fleet::PollReply Answer(const lw::fleet::Poll& aPoll);
 
@@ -41,6 +48,7 @@
     Base::TimePoint mPolledAt;
   };
 
+  void TakeRestored(Base::TimePoint aNow);
   void TakeLogState(Base::TimePoint aNow);
   void FillPeers(const lw::fleet::Poll& aPoll, Base::TimePoint aNow, lw::fleet::PollReply& aReply);
 
@@ -52,6 +60,7 @@
   uint64_t mStoreVersion = 0;
   lw::config::Declaration mDeclaration;
   std::map<uint32_t, Poller> mPollers;
+  lw::fleet::PollReply mRestored;
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -94,8 +94,7 @@
 EntryNode::Steer(const Steering::Packet& aPacket)
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
-  const Steering::Decision decision =
-    Steering::Steer(mState, mSettings.mSteering, aPacket, now);
+  const Steering::Decision decision = Steering::Steer(mState, mSettings.mSteering, aPacket, now);
   mDecisions[static_cast<size_t>(decision.mReason)]->Add();
   if (decision.mHandshake.has_value()) {
     mHandshakes.Observe(*decision.mHandshake);
@@ -190,11 +189,10 @@
   for (const uint32_t peer : mPeers) {
     if (peer != mSettings.mLoadReportListen.mAddress) {
       boost::system::error_code ignored; // A lost report is followed by the next one.
-      mReportSocket.send_to(
-        asio::buffer(bytes),
-        { asio::ip::address_v4(peer), mSettings.mLoadReportListen.mPort },
-        0,
-        ignored);
+      mReportSocket.send_to(asio::buffer(bytes),
+                            { asio::ip::address_v4(peer), mSettings.mLoadReportListen.mPort },
+                            0,
+                            ignored);
     }
   }
 }
--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -65,8 +65,7 @@
     const Base::TimePoint now = Base::RuntimeClock::now();
     UpdateTargets(now);
     SendPolls(now);
-    WaitForReplies(now +
-                   (mDeclaredVersion == 0 ? mSettings.mStartInterval : mSettings.mInterval));
+    WaitForReplies(now + (mDeclaredVersion == 0 ? mSettings.mStartInterval : mSettings.mInterval));
   }
   mTargets.clear();
 }
@@ -177,8 +176,7 @@
   while (aTarget.mSocket.recv(bytes, zmq::recv_flags::dontwait)) {
     lw::fleet::PollReply reply;
     if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-      LOG(WARNING) << "[directory] Malformed reply of control instance " << aControl
-                   << " ignored.";
+      LOG(WARNING) << "[directory] Malformed reply of control instance " << aControl << " ignored.";
       continue;
     }
     aTarget.mEpoch = reply.directory_epoch();
--- a/src/libs/metrics/registry.h
+++ b/src/libs/metrics/registry.h
@@ -47,8 +47,7 @@
 {
 public:
   /// Upper bounds of the buckets; longer durations are counted without one.
-  static constexpr std::array<int64_t, 10> kBoundsMs{ 1,   2,   5,    10,   25,
-                                                      50, 100, 250, 1000, 5000 };
+  static constexpr std::array<int64_t, 10> kBoundsMs{ 1, 2, 5, 10, 25, 50, 100, 250, 1000, 5000 };
 
   void Observe(std::chrono::nanoseconds aDuration);
 
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -19,8 +19,9 @@
 /// Drawn from the own availability zone, and from the others.
 constexpr int kLocalDraws = 3;
 constexpr int kRemoteDraws = 1;
-/// Work that a way to another availability zone counts for, in parts of one slot.
-constexpr double kRemotePenalty = 0.34;
+/// Work in parts of one slot that the way to another availability zone counts for. With less, flows
+/// cross availability zones while slots are free near them, and fail with the link between.
+constexpr double kRemotePenalty = 0.75;
 /// An upstream that has just started works about this much more slowly.
 constexpr double kColdFactor = 1.6;
 
@@ -37,6 +38,11 @@
   if (std::find(tried.begin(), tried.end(), aUpstream.mTag) != tried.end()) {
     return AlreadyTried;
   }
+  const auto& zones = aInput.mLoads.mByRemoteZone;
+  const auto zone = zones.find(aUpstream.mUpstream.mAvailabilityZone);
+  if (zone != zones.end() && IsSuspended(zone->second, aInput.mNow)) {
+    return Silent;
+  }
   const bool lapsed = aInput.mNow - aUpstream.mHeardAt > aInput.mLease;
   return lapsed || IsSuspended(LoadOf(aInput.mLoads, aUpstream.mTag), aInput.mNow) ? Silent : Good;
 }
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -42,6 +42,12 @@
   std::string mService;
   uint64_t mRouteVersion = 0;
   Base::TimePoint mOpenedAt;
+  /// When the newest opening packet was sent on.
+  Base::TimePoint mOfferedAt;
+  /// Availability zone of mTag's upstream if it is another one, else empty.
+  std::string mRemoteZone;
+  /// mTag has been blamed for leaving it without an answer.
+  bool mBlamed = false;
   Base::TimePoint mLastPacketAt;
 };
 
--- a/src/libs/steering/loadtable.cpp
+++ b/src/libs/steering/loadtable.cpp
@@ -9,13 +9,12 @@
 
 using std::chrono::milliseconds;
 
-/// One repeated opening packet may be a lost datagram.
-constexpr uint32_t kUnansweredToSuspend = 2;
-constexpr milliseconds kFirstSuspension{ 1000 };
+/// Short, because a single opening packet without an answer may be a lost datagram.
+constexpr milliseconds kFirstSuspension{ 500 };
 constexpr milliseconds kMaxSuspension{ 8000 };
 /// Own answers that are newer than this weigh more than the peers' reports.
 constexpr milliseconds kAnswerTrust{ 1000 };
-constexpr uint32_t kMaxDoublings = 3;
+constexpr uint32_t kMaxDoublings = 4;
 
 } // namespace
 
@@ -27,27 +26,23 @@
 }
 
 void
-NoteAnswer(LoadTable& aTable, Directory::RouteTag aTag, Base::TimePoint aNow)
+NoteAnswer(Load& aLoad, Base::TimePoint aNow)
 {
-  Load& load = aTable.mByTag[aTag];
-  load.mUnanswered = 0;
-  load.mSuspensions = 0;
-  load.mSuspendedUntil = Base::TimePoint();
-  load.mLastAnswerAt = aNow;
+  aLoad.mSuspensions = 0;
+  aLoad.mSuspendedUntil = Base::TimePoint();
+  aLoad.mLastAnswerAt = aNow;
 }
 
 bool
-NoteUnanswered(LoadTable& aTable, Directory::RouteTag aTag, Base::TimePoint aNow)
+NoteUnanswered(Load& aLoad, Base::TimePoint aOfferedAt, Base::TimePoint aNow)
 {
-  Load& load = aTable.mByTag[aTag];
-  ++load.mUnanswered;
-  if (load.mUnanswered < kUnansweredToSuspend || aNow < load.mSuspendedUntil) {
+  if (aLoad.mLastAnswerAt >= aOfferedAt || aNow < aLoad.mSuspendedUntil) {
     return false;
   }
-  const uint32_t doublings = std::min(load.mSuspensions, kMaxDoublings);
+  const uint32_t doublings = std::min(aLoad.mSuspensions, kMaxDoublings);
   const Base::Duration length = kFirstSuspension * (1U << doublings);
-  load.mSuspendedUntil = aNow + std::min<Base::Duration>(length, kMaxSuspension);
-  ++load.mSuspensions;
+  aLoad.mSuspendedUntil = aNow + std::min<Base::Duration>(length, kMaxSuspension);
+  ++aLoad.mSuspensions;
   return true;
 }
 
@@ -57,8 +52,8 @@
   if (aNow < aLoad.mSuspendedUntil) {
     return true;
   }
-  const bool answersHere = aLoad.mLastAnswerAt != Base::TimePoint() &&
-                           aNow - aLoad.mLastAnswerAt < kAnswerTrust;
+  const bool answersHere =
+    aLoad.mLastAnswerAt != Base::TimePoint() && aNow - aLoad.mLastAnswerAt < kAnswerTrust;
   return aLoad.mSuspendedByPeers > 0 && !answersHere;
 }
 
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -4,6 +4,8 @@
 #include "directory/upstream.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <unordered_map>
 
 namespace Steering {
@@ -16,8 +18,6 @@
   uint32_t mPeers = 0;
   /// Peers that get no answers from it.
   uint32_t mSuspendedByPeers = 0;
-  /// Opening packets since the last answer that the caller had to repeat.
-  uint32_t mUnanswered = 0;
   uint32_t mSuspensions = 0;
   Base::TimePoint mSuspendedUntil;
   Base::TimePoint mLastAnswerAt;
@@ -27,21 +27,25 @@
 struct LoadTable
 {
   std::unordered_map<Directory::RouteTag, Load> mByTag;
+  /// Answers of all upstreams of another availability zone together: when the link there is cut,
+  /// not every one of them has to be found out by a flow.
+  std::map<std::string, Load> mByRemoteZone;
 };
 
 /// \return the upstream's load, zero if nothing is known of it.
 Load
 LoadOf(const LoadTable& aTable, Directory::RouteTag aTag);
 
-/// Records that the caller confirmed a handshake of the upstream.
+/// Records that the caller confirmed a handshake.
 void
-NoteAnswer(LoadTable& aTable, Directory::RouteTag aTag, Base::TimePoint aNow);
+NoteAnswer(Load& aLoad, Base::TimePoint aNow);
 
-/// Records an opening packet that got no answer in time, and suspends the upstream when they add
-/// up.
+/// Suspends an upstream that left an opening packet without an answer, unless it has answered a
+/// later one. Each further suspension without an answer between is longer.
+/// \param aOfferedAt is when the opening packet was sent on.
 /// \return true if the upstream is suspended because of it.
 bool
-NoteUnanswered(LoadTable& aTable, Directory::RouteTag aTag, Base::TimePoint aNow);
+NoteUnanswered(Load& aLoad, Base::TimePoint aOfferedAt, Base::TimePoint aNow);
 
 /// \return true if new flows should go elsewhere because the upstream does not answer.
 bool
--- a/src/libs/steering/routetable.h
+++ b/src/libs/steering/routetable.h
@@ -28,8 +28,8 @@
   uint32_t mLatencyObjectiveMs = 0;
 };
 
-/// Routes of the declared configuration in force at an entry instance. Bounded by the configuration;
-/// polled again after a restart.
+/// Routes of the declared configuration in force at an entry instance. Bounded by the
+/// configuration; polled again after a restart.
 struct RouteTable
 {
   uint64_t mVersion = 0;
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -10,6 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// An opening packet without the caller's next packet for this long is unanswered: both ways
+/// through another availability zone and back take some milliseconds.
+constexpr milliseconds kAnswerLimit{ 80 };
 /// A flow without packets for this long counts as idle, although its record stays.
 constexpr milliseconds kWorkSilence{ 2500 };
 constexpr seconds kFlowRecordLifetime{ 60 };
@@ -35,6 +38,19 @@
   }
 }
 
+/// Counts an opening packet without an answer against the upstream, once.
+void
+Blame(State& aState, Flow& aFlow, Base::TimePoint aNow)
+{
+  if (!aFlow.mBlamed) {
+    aFlow.mBlamed = true;
+    NoteUnanswered(aState.mLoads.mByTag[aFlow.mTag], aFlow.mOfferedAt, aNow);
+    if (!aFlow.mRemoteZone.empty()) {
+      NoteUnanswered(aState.mLoads.mByRemoteZone[aFlow.mRemoteZone], aFlow.mOfferedAt, aNow);
+    }
+  }
+}
+
 Decision
 Refuse(Action aAction, Reason aReason)
 {
@@ -59,23 +75,25 @@
 
 /// Offers the flow to an upstream that it has not been offered to, if there is one.
 Decision
-Place(State& aState,
-      const Settings& aSettings,
-      Flow& aFlow,
-      Reason aReason,
-      Base::TimePoint aNow)
+Place(State& aState, const Settings& aSettings, Flow& aFlow, Reason aReason, Base::TimePoint aNow)
 {
   const ChoiceInput input{
-    aState.mDirectory, aState.mLoads,     aFlow.mService, aSettings.mAvailabilityZone,
-    aFlow.mTried,      aSettings.mLease, aNow
+    aState.mDirectory, aState.mLoads, aFlow.mService, aSettings.mAvailabilityZone, aFlow.mTried,
+    aSettings.mLease,  aNow
   };
   const Choice choice = ChooseUpstream(input, aState.mRandom);
   if (choice.mUpstream == nullptr) {
-    return Refuse(Action::Reset, Reason::NoUpstream);
+    // After a start, upstreams may be missing that announce themselves only now and then.
+    const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
+    return Refuse(complete ? Action::Reset : Action::Drop, Reason::NoUpstream);
   }
   EndWork(aState, aFlow);
   aFlow.mTag = choice.mUpstream->mTag;
   aFlow.mTried.push_back(aFlow.mTag);
+  aFlow.mOfferedAt = aNow;
+  aFlow.mBlamed = false;
+  const std::string& zone = choice.mUpstream->mUpstream.mAvailabilityZone;
+  aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   CountWork(aState, aFlow);
   Decision decision = ForwardTo(*choice.mUpstream, aReason, aNow);
   decision.mCandidates = choice.mCandidates;
@@ -91,7 +109,7 @@
     return upstream == nullptr ? Refuse(Action::Drop, Reason::UnknownTag)
                                : ForwardTo(*upstream, Reason::RepeatedOpening, aNow);
   }
-  NoteUnanswered(aState.mLoads, aFlow.mTag, aNow);
+  Blame(aState, aFlow, aNow);
   return Place(aState, aSettings, aFlow, Reason::RepeatedOpening, aNow);
 }
 
@@ -154,7 +172,10 @@
       EndWork(aState, flow);
       flow.mTag = aPacket.mTag;
     }
-    NoteAnswer(aState.mLoads, flow.mTag, aNow);
+    NoteAnswer(aState.mLoads.mByTag[flow.mTag], aNow);
+    if (!flow.mRemoteZone.empty()) {
+      NoteAnswer(aState.mLoads.mByRemoteZone[flow.mRemoteZone], aNow);
+    }
     CountWork(aState, flow);
   }
   if (aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort) {
@@ -245,6 +266,9 @@
 TakeReply(State& aState, const lw::fleet::PollReply& aReply, Base::TimePoint aNow)
 {
   Directory::Merge(aState.mDirectory, aReply, aNow);
+  if (aState.mFirstReplyAt == Base::TimePoint()) {
+    aState.mFirstReplyAt = aNow;
+  }
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
@@ -261,6 +285,9 @@
     if (silence > kWorkSilence) {
       EndWork(aState, flow);
     }
+    if (!flow.mConfirmed && aNow - flow.mOfferedAt > kAnswerLimit) {
+      Blame(aState, flow, aNow);
+    }
     const bool closed = flow.mConfirmed && !flow.mCounted && silence > kClosedLifetime;
     item = closed || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
   }
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -103,6 +103,7 @@
   Base::RandomSource mRandom;
   /// Last reply of a control instance that was connected to the leader of the log.
   Base::TimePoint mConnectedAt;
+  Base::TimePoint mFirstReplyAt;
 };
 
 /// Decides where a packet goes.
--- /dev/null
+++ b/tests/auto/config/tst_declaration.cpp
@@ -0,0 +1,135 @@
+#include "config/logstate.h"
+#include "config/statemachine.h"
+#include "config/validation.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+lw::config::Declaration
+MakeDeclaration(uint64_t aVersion)
+{
+  lw::config::Declaration declaration;
+  declaration.set_version(aVersion);
+  declaration.add_services("desk");
+  lw::config::Route* route = declaration.add_routes();
+  route->set_name("r");
+  route->set_address(0x0a000001);
+  route->set_port(80);
+  route->set_timeout_ms(1000);
+  lw::config::WeightedService* target = route->add_services();
+  target->set_service("desk");
+  target->set_weight(1);
+  declaration.set_document("text " + std::to_string(aVersion));
+  return declaration;
+}
+
+lw::config::Change
+Declare(const lw::config::Declaration& aDeclaration)
+{
+  lw::config::Change change;
+  change.set_operator_id(Config::kControlOperatorId);
+  *change.mutable_declare() = aDeclaration;
+  return change;
+}
+
+lw::config::Change
+Depart(uint64_t aUpstream, uint64_t aStart)
+{
+  lw::config::Change change;
+  change.set_operator_id(Config::kControlOperatorId);
+  change.mutable_depart()->set_upstream(aUpstream);
+  change.mutable_depart()->set_started_at_ms(aStart);
+  return change;
+}
+
+} // namespace
+
+TEST_GROUP(Declaration)
+{
+  lw::config::State mState;
+};
+
+// Guards against an older configuration that replaces a newer one, and against other content under
+// a version that is held.
+TEST(Declaration, OnlyAHigherVersionTakesEffect)
+{
+  CHECK_TRUE(Config::ApplyChange(mState, Declare(MakeDeclaration(7))).ok());
+  CHECK_TRUE(Config::ApplyChange(mState, Declare(MakeDeclaration(5))).ok());
+  LONGS_EQUAL(7, mState.declaration().version());
+  lw::config::Declaration other = MakeDeclaration(7);
+  other.set_document("other");
+  CHECK_TRUE(Config::ApplyChange(mState, Declare(other)).ok());
+  STRCMP_EQUAL("text 7", mState.declaration().document().c_str());
+  CHECK_TRUE(Config::ApplyChange(mState, Declare(MakeDeclaration(9))).ok());
+  LONGS_EQUAL(9, mState.declaration().version());
+}
+
+// Guards against an acknowledged configuration that can't be in force.
+TEST(Declaration, InvalidOnesAreRefused)
+{
+  const struct
+  {
+    const char* mName;
+    void (*mSpoil)(lw::config::Declaration&);
+  } rows[] = {
+    { "no version", [](lw::config::Declaration& aValue) { aValue.set_version(0); } },
+    { "unknown service",
+      [](lw::config::Declaration& aValue) {
+        aValue.mutable_routes(0)->mutable_services(0)->set_service("x");
+      } },
+    { "same address twice",
+      [](lw::config::Declaration& aValue) { *aValue.add_routes() = aValue.routes(0); } },
+    { "no timeout",
+      [](lw::config::Declaration& aValue) { aValue.mutable_routes(0)->set_timeout_ms(0); } },
+    { "no weight",
+      [](lw::config::Declaration& aValue) {
+        aValue.mutable_routes(0)->mutable_services(0)->set_weight(0);
+      } },
+    { "service twice", [](lw::config::Declaration& aValue) { aValue.add_services("desk"); } },
+    { "no port", [](lw::config::Declaration& aValue) { aValue.mutable_routes(0)->set_port(0); } },
+  };
+  CHECK_TRUE(Config::ValidateDeclaration(MakeDeclaration(1)).ok());
+  for (const auto& row : rows) {
+    lw::config::Declaration declaration = MakeDeclaration(1);
+    row.mSpoil(declaration);
+    CHECK_TRUE_TEXT(absl::IsInvalidArgument(Config::ValidateDeclaration(declaration)), row.mName);
+    CHECK_FALSE_TEXT(Config::ApplyChange(mState, Declare(declaration)).ok(), row.mName);
+  }
+  LONGS_EQUAL(0, mState.version());
+}
+
+// Guards against a departure that is recorded again with each call of the upstream, and against an
+// operator who proposes what only control instances may.
+TEST(Declaration, DepartureIsRecordedOnce)
+{
+  CHECK_TRUE(Config::ApplyChange(mState, Depart(1, 10)).ok());
+  CHECK_TRUE(Config::ApplyChange(mState, Depart(1, 10)).ok());
+  CHECK_TRUE(Config::ApplyChange(mState, Depart(1, 11)).ok());
+  LONGS_EQUAL(2, mState.departures_size());
+  lw::config::Change foreign = Depart(2, 1);
+  foreign.set_operator_id("someone");
+  CHECK_FALSE(Config::ApplyChange(mState, foreign).ok());
+}
+
+// Guards against departures that grow without a bound.
+TEST(Declaration, OldestDepartureIsForgotten)
+{
+  constexpr int kMaxDepartures = 4096;
+  for (uint64_t upstream = 0; upstream <= kMaxDepartures; ++upstream) {
+    CHECK_TRUE(Config::ApplyChange(mState, Depart(upstream, 1)).ok());
+  }
+  LONGS_EQUAL(kMaxDepartures, mState.departures_size());
+  LONGS_EQUAL(1, mState.departures(0).upstream());
+}
+
+// Guards against followers that get every overtaken configuration, or a gap, after a declaration.
+TEST(Declaration, FollowerBehindADeclarationGetsTheWholeState)
+{
+  Config::LogState state;
+  CHECK_TRUE(Config::ApplyCommand(state, Config::MakeCommand(Depart(1, 1), 1)).ok());
+  CHECK_TRUE(Config::ApplyCommand(state, Config::MakeCommand(Declare(MakeDeclaration(3)), 1)).ok());
+  CHECK_TRUE(Config::ApplyCommand(state, Config::MakeCommand(Depart(2, 1), 1)).ok());
+  CHECK_TRUE(Config::RevisionsAfter(state, 1).has_snapshot());
+  LONGS_EQUAL(1, Config::RevisionsAfter(state, 2).revisions_size());
+}
--- /dev/null
+++ b/tests/auto/directory/tst_mergeddirectory.cpp
@@ -0,0 +1,103 @@
+#include "directory/mergeddirectory.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+
+using Directory::State;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(MergedDirectory)
+{
+  Directory::MergedDirectory mDirectory;
+  Base::TimePoint mNow{ seconds(1000) };
+
+  std::vector<Directory::RouteTag> Merge(uint64_t aId,
+                                         uint64_t aStart,
+                                         uint32_t aAddress,
+                                         lw::fleet::UpstreamState aState,
+                                         uint32_t aAgeMs = 0)
+  {
+    lw::fleet::PollReply reply;
+    lw::fleet::Upstream* upstream = reply.add_upstreams();
+    upstream->set_id(aId);
+    upstream->set_started_at_ms(aStart);
+    upstream->set_address(aAddress);
+    upstream->set_port(aAddress == 0 ? 0 : 8080);
+    upstream->set_service("desk");
+    upstream->set_slots(2);
+    upstream->set_state(aState);
+    upstream->set_age_ms(aAgeMs);
+    return Directory::Merge(mDirectory, reply, mNow);
+  }
+
+  const Directory::MergedUpstream* Find(uint64_t aId, uint64_t aStart)
+  {
+    return Directory::Find(mDirectory, Directory::TagOf(Directory::UpstreamId(aId), aStart));
+  }
+};
+
+// Guards against a control instance that lags and brings a leaving upstream back.
+TEST(MergedDirectory, StateNeverGoesBack)
+{
+  Merge(1, 10, 7, lw::fleet::READY);
+  LONGS_EQUAL(1, Merge(1, 10, 7, lw::fleet::DRAINING).size());
+  LONGS_EQUAL(0, Merge(1, 10, 7, lw::fleet::READY).size());
+  CHECK_TRUE(Find(1, 10)->mUpstream.mState == State::Draining);
+}
+
+// Guards against packets for an upstream that has ended, after its address or id was used again.
+TEST(MergedDirectory, NewerStartRetiresTheOlderOne)
+{
+  Merge(1, 10, 7, lw::fleet::READY);
+  Merge(2, 20, 7, lw::fleet::READY);
+  CHECK_TRUE(Find(1, 10)->mUpstream.mState == State::Gone);
+  CHECK_TRUE(Find(2, 20)->mUpstream.mState == State::Ready);
+  Merge(2, 30, 8, lw::fleet::READY);
+  CHECK_TRUE(Find(2, 20)->mUpstream.mState == State::Gone);
+  CHECK_TRUE(Find(2, 30)->mUpstream.mState == State::Ready);
+}
+
+// Guards against a late announcement of an ended upstream that takes the address back.
+TEST(MergedDirectory, OlderStartDoesNotTakeTheAddress)
+{
+  Merge(2, 20, 7, lw::fleet::READY);
+  Merge(1, 10, 7, lw::fleet::READY);
+  CHECK_TRUE(Find(1, 10)->mUpstream.mState == State::Gone);
+  CHECK_TRUE(Find(2, 20)->mUpstream.mState == State::Ready);
+}
+
+// Guards against a departure without an address that hides the upstream's flows.
+TEST(MergedDirectory, AddressArrivesAfterTheDeparture)
+{
+  Merge(1, 10, 0, lw::fleet::DRAINING);
+  Merge(1, 10, 7, lw::fleet::READY);
+  CHECK_TRUE(Find(1, 10)->mUpstream.mState == State::Draining);
+  LONGS_EQUAL(8080, Find(1, 10)->mUpstream.mAddress.mPort);
+}
+
+// Guards against an age that grows because one control instance has not heard an upstream lately.
+TEST(MergedDirectory, NewestAnnouncementCounts)
+{
+  Merge(1, 10, 7, lw::fleet::READY, 100);
+  Merge(1, 10, 7, lw::fleet::READY, 3000);
+  CHECK_TRUE(mNow - Find(1, 10)->mHeardAt == milliseconds(100));
+  mNow += seconds(1);
+  lw::fleet::PollReply reply;
+  lw::fleet::Renewal* renewal = reply.add_renewals();
+  renewal->set_tag(Find(1, 10)->mTag.mValue);
+  renewal->set_age_ms(50);
+  Directory::Merge(mDirectory, reply, mNow);
+  CHECK_TRUE(mNow - Find(1, 10)->mHeardAt == milliseconds(50));
+}
+
+// Guards against a directory that grows with each upstream that ever was.
+TEST(MergedDirectory, SilentOnesAreForgotten)
+{
+  Merge(1, 10, 7, lw::fleet::READY);
+  mNow += seconds(300);
+  Directory::ForgetGone(mDirectory, mNow);
+  LONGS_EQUAL(0, mDirectory.mByTag.size() + mDirectory.mNewest.size());
+  LONGS_EQUAL(0, mDirectory.mByAddress.size());
+}
--- /dev/null
+++ b/tests/auto/fleet/tst_directorycache.cpp
@@ -0,0 +1,62 @@
+#include "../storage/fakedisk.h"
+#include "fleet/directorycache.h"
+
+#include <CppUTest/TestHarness.h>
+
+TEST_GROUP(DirectoryCache)
+{
+  FakeDisk mDisk{ 3 };
+
+  static lw::fleet::PollReply Upstreams(int aCount)
+  {
+    lw::fleet::PollReply reply;
+    for (int i = 0; i < aCount; ++i) {
+      reply.add_upstreams()->set_id(static_cast<uint64_t>(i + 1));
+    }
+    return reply;
+  }
+};
+
+// Guards against a restart that has to wait for every upstream to announce itself again.
+TEST(DirectoryCache, NewestUpstreamsAreRead)
+{
+  const Storage::FilePort port = mDisk.Port();
+  CHECK_TRUE(absl::IsNotFound(Fleet::ReadUpstreams(port, "/data").status()));
+  CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(3)).ok());
+  CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(5)).ok());
+  LONGS_EQUAL(5, Fleet::ReadUpstreams(port, "/data")->upstreams_size());
+}
+
+// Guards against damaged files that are taken for upstreams, or that stop later writes.
+TEST(DirectoryCache, DamagedOrTornFilesAreRefused)
+{
+  const Storage::FilePort port = mDisk.Port();
+  CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(3)).ok());
+  std::string& bytes = mDisk.mFiles.at("/data/upstreams");
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    const std::string whole = bytes;
+    bytes.resize(size);
+    CHECK_FALSE(Fleet::ReadUpstreams(port, "/data").ok());
+    bytes = whole;
+    bytes[size] = static_cast<char>(bytes[size] ^ 1);
+    CHECK_FALSE(Fleet::ReadUpstreams(port, "/data").ok());
+    bytes = whole;
+  }
+  mDisk.mFiles["/data/upstreams.next"] = "left over";
+  CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(4)).ok());
+  LONGS_EQUAL(4, Fleet::ReadUpstreams(port, "/data")->upstreams_size());
+}
+
+// Guards against a full disk that loses what was stored before.
+TEST(DirectoryCache, FailedWriteKeepsTheOldFile)
+{
+  const Storage::FilePort port = mDisk.Port();
+  CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(3)).ok());
+  for (uint64_t left = 0; left < 3; ++left) {
+    mDisk.mOperationsLeft = left;
+    const bool written = Fleet::WriteUpstreams(port, "/data", Upstreams(9)).ok();
+    mDisk.mOperationsLeft = 1000;
+    LONGS_EQUAL(written ? 9 : 3, Fleet::ReadUpstreams(port, "/data")->upstreams_size());
+    CHECK_TRUE(Fleet::WriteUpstreams(port, "/data", Upstreams(3)).ok());
+  }
+}
--- /dev/null
+++ b/tests/auto/platform/tst_documents.cpp
@@ -0,0 +1,150 @@
+#include "config/validation.h"
+#include "platform/announcementdocument.h"
+#include "platform/configdocument.h"
+
+#include "base/random.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+const char kBeat[] = R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"apapa",)"
+                     R"("Version":"v1","Slots":2,"State":"ready","ColdRemainingMs":0,)"
+                     R"("Sequence":4,"born":1768361720057})";
+
+const char kConfig[] =
+  R"({"Version":7,"Routes":[{"Name":"r-a","Host":"198.18.0.1","PathPrefix":"/8443/",)"
+  R"("Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,)"
+  R"("WeightedServices":[{"Service":"x","Weight":90},{"Service":"y","Weight":10}]},)"
+  R"({"Name":"r-b","Host":"198.18.0.2","PathPrefix":"/8443/","Kind":"download",)"
+  R"("TimeoutMs":5000,"TargetLatencyMs":500,"Priority":2,"Service":"y"}],)"
+  R"("Services":[{"Name":"x","HealthPath":"/healthz"},{"Name":"y","HealthPath":"/healthz"}],)"
+  R"("Limits":{"IdleTimeoutMs":15000}})";
+
+std::string
+Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  const size_t position = aText.find(aFrom);
+  CHECK_TRUE_TEXT(position != std::string::npos, aFrom.c_str());
+  return aText.replace(position, aFrom.size(), aTo);
+}
+
+/// Changes some bytes at random.
+std::string
+Damaged(std::string aText, Base::RandomSource& aRandom)
+{
+  const uint64_t changes = 1 + Base::NextBelow(aRandom, 3);
+  for (uint64_t i = 0; i < changes; ++i) {
+    aText[Base::NextBelow(aRandom, aText.size())] = static_cast<char>(Base::NextRandom(aRandom));
+  }
+  return aText.substr(0, 1 + Base::NextBelow(aRandom, aText.size()));
+}
+
+} // namespace
+
+TEST_GROUP(Documents)
+{
+  Base::TimePoint mNow{ std::chrono::seconds(50) };
+
+  absl::StatusOr<Directory::Announcement> Beat(const std::string& aBody) const
+  {
+    return Platform::ParseAnnouncement(Directory::UpstreamId(1), aBody, mNow);
+  }
+};
+
+// Guards against fields that are read under another name.
+TEST(Documents, ReadsAnAnnouncement)
+{
+  const auto beat = Beat(kBeat);
+  CHECK_TRUE(beat.ok());
+  STRCMP_EQUAL("10.128.0.9:8080", Base::ToString(beat->mUpstream.mAddress).c_str());
+  STRCMP_EQUAL("apapa", beat->mUpstream.mAvailabilityZone.c_str());
+  CHECK_TRUE(beat->mUpstream.mStartedAtMs == 1768361720057);
+  LONGS_EQUAL(2, beat->mUpstream.mSlots);
+  LONGS_EQUAL(4, beat->mSequence);
+}
+
+// Guards against an upstream that is used on the word of an announcement that can't be trusted.
+TEST(Documents, WrongAnnouncementsAreRefused)
+{
+  const struct
+  {
+    const char* mFrom;
+    const char* mTo;
+  } rows[] = { { "\"Service\"", "\"X\"" },
+               { "\"Slots\":2", "\"Slots\":\"2\"" },
+               { "\"Slots\":2", "\"Slots\":0" },
+               { "\"Slots\":2", "\"Slots\":-1" },
+               { "ready", "sleeping" },
+               { "10.128.0.9:8080", "10.128.0.9" },
+               { "\"Sequence\":4", "\"Sequence\":4.5" },
+               { "1768361720057", "\"yesterday\"" },
+               { "\"Zone\":\"apapa\"", "\"Zone\":7" },
+               { "{", "[" } };
+  for (const auto& row : rows) {
+    CHECK_FALSE_TEXT(Beat(Replaced(kBeat, row.mFrom, row.mTo)).ok(), row.mTo);
+  }
+}
+
+// Guards against ids that name another upstream.
+TEST(Documents, IdIsReadAsHexadecimalNumber)
+{
+  CHECK_TRUE(Platform::ParseUpstreamId("i-7f3a91c2")->mValue == 0x7f3a91c2);
+  CHECK_TRUE(Platform::ParseUpstreamId("i-07e667c6b8")->mValue == 0x7e667c6b8);
+  for (const char* id : { "", "i-", "i-xyz", "i-11112222333344445", "i--1" }) {
+    CHECK_FALSE_TEXT(Platform::ParseUpstreamId(id).ok() && id[2] != '-', id);
+  }
+}
+
+// Guards against routes that go to another service or address than the operator wrote.
+TEST(Documents, ReadsAConfiguration)
+{
+  const auto config = Platform::ParseConfig(kConfig);
+  CHECK_TRUE(config.ok());
+  CHECK_TRUE(Config::ValidateDeclaration(*config).ok());
+  LONGS_EQUAL(7, config->version());
+  LONGS_EQUAL(2, config->routes_size());
+  LONGS_EQUAL(0xc6120001, config->routes(0).address());
+  LONGS_EQUAL(8443, config->routes(0).port());
+  LONGS_EQUAL(90, config->routes(0).services(0).weight());
+  STRCMP_EQUAL("y", config->routes(1).services(0).service().c_str());
+  STRCMP_EQUAL(kConfig, config->document().c_str());
+}
+
+// Guards against an acknowledgement of a configuration that can't be read in full.
+TEST(Documents, WrongConfigurationsAreRefused)
+{
+  const struct
+  {
+    const char* mFrom;
+    const char* mTo;
+  } rows[] = { { "\"Version\":7", "\"Version\":\"7\"" },
+               { "\"Version\":7", "\"Version\":-7" },
+               { "/8443/", "8443" },
+               { "/8443/", "/99999/" },
+               { "idempotent", "sometimes" },
+               { "\"TimeoutMs\":1500", "\"TimeoutMs\":0" },
+               { "\"TimeoutMs\":1500", "\"TimeoutMs\":1.5" },
+               { "\"Service\":\"x\"", "\"Service\":\"w\"" },
+               { "198.18.0.2", "198.18.0.1" },
+               { "\"Services\":", "\"Other\":" },
+               { "}}", "}" } };
+  for (const auto& row : rows) {
+    const auto config = Platform::ParseConfig(Replaced(kConfig, row.mFrom, row.mTo));
+    CHECK_FALSE_TEXT(config.ok() && Config::ValidateDeclaration(*config).ok(), row.mTo);
+  }
+}
+
+// Guards against a crash on any bytes at the doors for announcements and configurations.
+TEST(Documents, DamagedTextsNeverCrash)
+{
+  Base::RandomSource random{ 20261204 };
+  for (int i = 0; i < 20000; ++i) {
+    const std::string beat = Damaged(kBeat, random);
+    static_cast<void>(Beat(beat).ok());
+    static_cast<void>(Platform::ParseStart(beat).has_value());
+    static_cast<void>(Platform::ParseConfig(Damaged(kConfig, random)).ok());
+  }
+}
--- /dev/null
+++ b/tests/auto/platform/tst_platformsettings.cpp
@@ -0,0 +1,93 @@
+#include "platform/platformsettings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+TEST_GROUP(PlatformSettings)
+{
+  nlohmann::json mEntry{ { "address", "10.1.0.10" },
+                         { "availability_zone", "carsi-hall" },
+                         { "packet_listen", "10.1.0.10:8172" },
+                         { "ready_listen", "10.1.0.10:8167" },
+                         { "first_internal_port", 7720 },
+                         { "last_internal_port", 7735 },
+                         { "metrics_port", 9464 },
+                         { "seeds", { "10.1.0.13:8166", "10.2.0.43:8166" } },
+                         { "beat_ms", 1200 },
+                         { "apply_ms", 3000 },
+                         { "grace_s", 6 } };
+  nlohmann::json mControl{ { "address", "10.1.0.13" },
+                           { "availability_zone", "carsi-hall" },
+                           { "control_listen", "10.1.0.13:8166" },
+                           { "first_internal_port", 7720 },
+                           { "last_internal_port", 7735 },
+                           { "metrics_port", 9464 },
+                           { "seeds", { "10.1.0.13:8166", "10.2.0.43:8166" } },
+                           { "first_start", true },
+                           { "machine_losses", 2 },
+                           { "data_directory", "/data/x" } };
+
+  static absl::Status ReadEntry(const nlohmann::json& aJson, Platform::EntrySettings& aSettings)
+  {
+    Settings::Reader reader(*Settings::ParseDocument(aJson.dump()));
+    return Platform::ReadEntrySettings(reader, aSettings);
+  }
+
+  static absl::Status ReadControl(const nlohmann::json& aJson, Platform::ControlSettings& aSettings)
+  {
+    Settings::Reader reader(*Settings::ParseDocument(aJson.dump()));
+    return Platform::ReadControlSettings(reader, aSettings);
+  }
+};
+
+TEST(PlatformSettings, ReadsTheSettingsOfAnEntryInstance)
+{
+  Platform::EntrySettings settings;
+  CHECK_TRUE(ReadEntry(mEntry, settings).ok());
+  LONGS_EQUAL(0x0a01000a, settings.mCommon.mAddress);
+  LONGS_EQUAL(7722, settings.mLoadReportListen.mPort);
+  LONGS_EQUAL(2, settings.mCommon.mSeeds.size());
+  CHECK_TRUE(settings.mSteering.mLease > std::chrono::seconds(3));
+}
+
+// Guards against a restarted machine with an empty disk that sets a first membership of its own.
+TEST(PlatformSettings, OnlySeedsOfAFirstStartSetTheMembership)
+{
+  Platform::ControlSettings settings;
+  CHECK_TRUE(ReadControl(mControl, settings).ok());
+  CHECK_TRUE(settings.mControl.mConsensus.mMayForm);
+  LONGS_EQUAL(5, settings.mControl.mConsensus.mMinVoters);
+  mControl["first_start"] = false;
+  Platform::ControlSettings later;
+  CHECK_TRUE(ReadControl(mControl, later).ok());
+  CHECK_FALSE(later.mControl.mConsensus.mMayForm);
+  mControl["first_start"] = true;
+  mControl["address"] = "10.9.0.1";
+  Platform::ControlSettings other;
+  CHECK_TRUE(ReadControl(mControl, other).ok());
+  CHECK_FALSE(other.mControl.mConsensus.mMayForm);
+}
+
+// Guards against settings that are only found wrong when they are used.
+TEST(PlatformSettings, WrongOnesAreRefusedWithTheirKey)
+{
+  const struct
+  {
+    const char* mKey;
+    nlohmann::json mValue;
+  } rows[] = { { "address", "here" },      { "packet_listen", "10.1.0.10" },
+               { "seeds", "10.1.0.13:1" }, { "last_internal_port", 7721 },
+               { "beat_ms", 0 },           { "unknown", 1 },
+               { "apply_ms", "soon" } };
+  for (const auto& row : rows) {
+    nlohmann::json json = mEntry;
+    json[row.mKey] = row.mValue;
+    Platform::EntrySettings settings;
+    const absl::Status status = ReadEntry(json, settings);
+    CHECK_FALSE_TEXT(status.ok(), row.mKey);
+    STRCMP_CONTAINS(row.mKey, std::string(status.message()).c_str());
+  }
+}
--- /dev/null
+++ b/tests/auto/steering/fixture.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "steering/steering.h"
+
+#include <string>
+
+/// State of an entry instance in availability zone "a" with one route, 10.0.0.1:80 to "desk".
+struct SteeringFixture
+{
+  SteeringFixture();
+
+  /// Tells the instance of an upstream, with its number as id and last byte of the address.
+  void AddUpstream(uint64_t aId,
+                   const std::string& aZone,
+                   lw::fleet::UpstreamState aState = lw::fleet::READY);
+  /// A control instance that hears the leader answers with this declaration.
+  bool Declare(uint64_t aVersion, bool aWithRoute = true);
+  Steering::Decision Send(uint16_t aCallerPort,
+                          Steering::PacketKind aKind,
+                          Directory::RouteTag aTag = Directory::RouteTag(),
+                          bool aCarriesData = false);
+  /// Opens a flow and answers the handshake of the chosen upstream.
+  Directory::RouteTag OpenFlow(uint16_t aCallerPort);
+
+  static Directory::RouteTag Tag(uint64_t aId);
+
+  Steering::State mState;
+  Steering::Settings mSettings;
+  Base::TimePoint mNow{ std::chrono::seconds(1000) };
+};
