--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -28,7 +28,7 @@
   uint16_t mPollPort = 0;
   Base::Duration mInterval = std::chrono::milliseconds(400);
   /// While no configuration is in force, so that a restarted instance serves soon.
-  Base::Duration mStartInterval = std::chrono::milliseconds(100);
+  Base::Duration mStartInterval = std::chrono::milliseconds(50);
 };
 
 /// What a control instance told, or that it fell silent.
