Confirm the history before it is handed out; add the fault soak

It is confirmed now as Read is.

tests/soak runs the programs of the users' platform as processes on loopback addresses, with proxies before the control instances, and injects kills, stops, pauses, reloads, full disks, torn tails, lost disks, cut and silenced links while callers use open flows, upstreams come and go, and an operator replaces the configuration.

--- a/src/libs/control/peersockets.cpp
+++ b/src/libs/control/peersockets.cpp
@@ -15,8 +15,8 @@
 /// A connection on which nothing arrives for this long is opened again. Without it a connection
 /// that a partition broke silently would be used until the kernel gives up, minutes later.
 constexpr int kHeartbeatMs = 500;
-/// The kernel repeats the first packet of a connection only after a second, so an attempt that met a
-/// machine without power is given up and made again before that.
+/// The kernel repeats the first packet of a connection only after a second, so an attempt that met
+/// a machine without power is given up and made again before that.
 constexpr int kConnectTimeoutMs = 250;
 /// Bounds the sockets when instances come and go under new ids.
 constexpr size_t kMaxPeers = 64;
--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -18,8 +18,8 @@
 /// A control instance without a reply for this long is lost, and its connection is opened again:
 /// a connection may be silent for good while a new one works.
 constexpr milliseconds kReplyLimit{ 1300 };
-/// The kernel repeats the first packet of a connection only after a second, so an attempt that met a
-/// machine without power is given up and made again before that.
+/// The kernel repeats the first packet of a connection only after a second, so an attempt that met
+/// a machine without power is given up and made again before that.
 constexpr int kConnectTimeoutMs = 250;
 constexpr int kReconnectMs = 50;
 /// Bounds the polls; the log has no more voters than that.
--- a/src/tools/control/operatorservice.cpp
+++ b/src/tools/control/operatorservice.cpp
@@ -85,12 +85,16 @@
 }
 
 grpc::Status
-OperatorService::History(grpc::ServerContext* /*aContext*/,
+OperatorService::History(grpc::ServerContext* aContext,
                          const lw::operator_api::HistoryRequest* aRequest,
                          lw::operator_api::HistoryReply* aReply)
 {
-  *aReply = mStore.History(aRequest->after_version());
-  return grpc::Status::OK;
+  // An instance that lags would hand out a list in which acknowledged changes are missing.
+  const absl::Status confirmed = mLog.ConfirmRead(TimeLeft(*aContext));
+  if (confirmed.ok()) {
+    *aReply = mStore.History(aRequest->after_version());
+  }
+  return Translate(confirmed, 0);
 }
 
 grpc::Status
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,482 @@
+"""Runs the programs of the users' platform as processes on loopback and injects faults from outside.
+
+The promises are checked from what callers, upstreams and the operator see. Prints one line with the seed and the
+counts; the exit code is 1 after a violation. The logs of a failed seed are kept under --keep.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from packets import address
+from standins import CALM_SECONDS, Callers, Proxy, Upstream, call
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+LOG_PORT, POLL_PORT, API_PORT, READY_PORT, METRICS_PORT = 7720, 7721, 8166, 8167, 9464
+BASE_ROUTE = (address("198.18.0.1"), 80)
+OTHER_ROUTE = (address("198.18.0.2"), 80)
+START_SECONDS = 15
+APPLY_SECONDS = 3.0
+RECOVER_SECONDS = 12.0
+ADDRESS_REUSE_SECONDS = 2.0
+LEAST_SERVED_AT_THE_END = 0.95
+
+
+class Process:
+    """One program with its settings; remembers when it was last disturbed."""
+
+    def __init__(self, world, name, program, settings):
+        self.world, self.name, self.program, self.settings = world, name, program, settings
+        self.ip = settings["address"]
+        self.disturbed_at = 0.0
+        self.child = None
+
+    def start(self):
+        path = os.path.join(self.world.folder, self.name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(self.settings, file)
+        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
+            self.child = subprocess.Popen(
+                [os.path.join(self.world.binaries, self.program), f"--settings={path}"], stdout=log, stderr=log
+            )
+
+    def signal(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.child.wait()
+
+
+class Control(Process):
+    """A control instance behind proxies."""
+
+    def __init__(self, world, index, seeds):
+        public, private = f"127.1.{world.net}.{index + 1}", f"127.2.{world.net}.{index + 1}"
+        settings = {
+            "address": public,
+            "bind_address": private,
+            "availability_zone": ZONES[index],
+            "control_listen": f"{private}:{API_PORT}",
+            "first_internal_port": LOG_PORT,
+            "last_internal_port": LOG_PORT + 15,
+            "metrics_port": METRICS_PORT,
+            "seeds": seeds,
+            "first_start": True,
+            "machine_losses": 1,
+            "data_directory": os.path.join(world.folder, f"data-{index}"),
+        }
+        super().__init__(world, f"control-{index}", "lw-platform-control", settings)
+        self.api = f"{public}:{API_PORT}"
+        self.proxies = [Proxy((public, port), (private, port)) for port in (LOG_PORT, POLL_PORT, API_PORT)]
+
+    def set_fault(self, fault):
+        for proxy in self.proxies:
+            proxy.set_fault(fault)
+
+
+class World:
+    def __init__(self, arguments, folder):
+        self.random = random.Random(arguments.seed)
+        self.binaries, self.folder = arguments.bin, folder
+        self.net = arguments.net
+        self.violations = []
+        self.services = {BASE_ROUTE: "desk", OTHER_ROUTE: "feed"}
+        self.upstreams, self.ended = [], []
+        self.next_number = 1
+        self.version = self.acknowledged = 0
+        self.sent = {}
+        self.entries, self.controls = [], []
+        self.stable_since = time.monotonic()
+        self.versions_seen = {}
+        self.counts = {"faults": 0, "flows": 0, "served": 0, "configs": 0, "reads": 0}
+
+    def violation(self, words):
+        self.violations.append(f"{time.monotonic() - self.started:.2f} s: {words}")
+
+    def calm_for(self, ip):
+        """Seconds since the entry instance with this address or any control instance was disturbed."""
+        last = max([self.stable_since] + [entry.disturbed_at for entry in self.entries if entry.ip == ip])
+        return time.monotonic() - last
+
+    def route(self, key):
+        running = [entry for entry in self.entries if entry.ready]
+        return max(running, key=lambda entry: hash((entry.ip, key)), default=None)
+
+    def owner_of(self, key):
+        return next((upstream for upstream in self.upstreams if key in upstream.flows), None)
+
+    def stray_packet(self, upstream, key):
+        owner = self.owner_of(key)
+        if owner is not None and owner is not upstream:
+            self.violation(f"a packet of a flow at {owner.number} reached {upstream.number}")
+
+    async def set_up(self):
+        self.started = time.monotonic()
+        seeds = [f"127.1.{self.net}.{index + 1}:{API_PORT}" for index in range(len(ZONES))]
+        self.controls = [Control(self, index, seeds) for index in range(len(ZONES))]
+        for index in range(4):
+            ip = f"127.3.{self.net}.{index + 1}"
+            settings = {
+                "address": ip,
+                "availability_zone": ZONES[index % len(ZONES)],
+                "packet_listen": f"{ip}:8172",
+                "ready_listen": f"{ip}:{READY_PORT}",
+                "first_internal_port": LOG_PORT,
+                "last_internal_port": LOG_PORT + 15,
+                "metrics_port": METRICS_PORT,
+                "seeds": seeds,
+                "beat_ms": 1000,
+                "apply_ms": 3000,
+                "grace_s": 4,
+            }
+            entry = Process(self, f"entry-{index}", "lw-platform-entry", settings)
+            entry.ready = False
+            self.entries.append(entry)
+        for control in self.controls:
+            for proxy in control.proxies:
+                await proxy.start()
+        for process in self.controls + self.entries:
+            process.start()
+        for index in range(6):
+            await self.add_upstream("desk" if index < 4 else "feed", index)
+        self.callers = Callers(self, f"127.9.{self.net}.1")
+        await self.callers.start()
+
+    async def add_upstream(self, service, slot):
+        number, self.next_number = self.next_number, self.next_number + 1
+        upstream = Upstream(self, f"127.8.{self.net}.{slot + 1}", service, ZONES[slot % len(ZONES)], number)
+        upstream.slot = slot
+        await upstream.start()
+        self.upstreams.append(upstream)
+        return upstream
+
+    # What goes on all the time.
+
+    async def watch_readiness(self):
+        while True:
+            for entry in self.entries:
+                result = await call(f"{entry.ip}:{READY_PORT}", "GET", "/v1/readyz", timeout=0.5)
+                entry.ready = bool(result and result[0] == 200)
+                await self.watch_version(entry)
+            await asyncio.sleep(0.3)
+
+    async def watch_version(self, entry):
+        child = entry.child.pid
+        result = await call(f"{entry.ip}:{METRICS_PORT}", "GET", "/metrics", timeout=0.5)
+        if result is None or entry.child.pid != child:
+            return
+        for line in result[1].decode().splitlines():
+            if line.startswith("config_version_in_force "):
+                version = int(line.split()[1])
+                if version < self.versions_seen.get(child, 0):
+                    self.violation(f"{entry.name} went back to version {version}")
+                self.versions_seen[child] = version
+
+    async def open_flows(self):
+        tasks = set()
+        while True:
+            service = BASE_ROUTE if self.random.random() < 0.8 else OTHER_ROUTE
+            packets, pause = self.random.choice([(1, 0.01), (3, 0.02), (40, 0.1)])
+            task = asyncio.create_task(self.one_flow(service, packets, pause))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(self.random.expovariate(40))
+
+    async def one_flow(self, service, packets, pause):
+        started = time.monotonic()
+        served = await self.callers.use_flow(service, packets, pause)
+        self.counts["flows"] += 1
+        self.counts["served"] += served
+        self.results.append((started, served))
+
+    async def operate(self):
+        while True:
+            await self.replace_config()
+            await self.read_config()
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+
+    async def replace_config(self):
+        self.version += self.random.randint(1, 3)
+        version = self.version
+        routes = [self.make_route("r-base", BASE_ROUTE, "desk"), self.make_route("r-other", OTHER_ROUTE, "feed")]
+        extra = (address("198.18.1.0") + version % 200, 80)
+        self.services[extra] = "desk"
+        routes.append(self.make_route(f"r-{version}", extra, "desk"))
+        document = {
+            "Version": version,
+            "Routes": routes,
+            "Services": [{"Name": "desk"}, {"Name": "feed"}],
+            "Limits": {"IdleTimeoutMs": 15000},
+        }
+        body = json.dumps(document).encode()
+        self.sent[version] = body
+        lose = self.random.random() < 0.2
+        for _ in range(6):
+            control = self.random.choice(self.controls)
+            result = await call(control.api, "POST", "/v1/Config.Replace", body, lose_answer=lose)
+            lose = False
+            if result and result[0] == 200:
+                self.acknowledged = max(self.acknowledged, version)
+                self.counts["configs"] += 1
+                return
+            if result and result[0] in (400, 409, 412, 413, 422):
+                self.violation(f"valid version {version} was refused with {result[0]}")
+                return
+            await asyncio.sleep(0.2)
+
+    @staticmethod
+    def make_route(name, place, service):
+        return {
+            "Name": name,
+            "Host": ".".join(str(byte) for byte in place[0].to_bytes(4, "big")),
+            "PathPrefix": f"/{place[1]}/",
+            "Kind": "idempotent",
+            "TimeoutMs": 1000,
+            "TargetLatencyMs": 200,
+            "Priority": 1,
+            "Service": service,
+        }
+
+    async def read_config(self):
+        acknowledged = self.acknowledged
+        control = self.random.choice(self.controls)
+        result = await call(control.api, "GET", "/v1/Config.Read")
+        if result is None or result[0] != 200:
+            return False
+        self.counts["reads"] += 1
+        version = json.loads(result[1])["Version"]
+        if version < acknowledged:
+            self.violation(f"{control.name} answered version {version} after {acknowledged} was acknowledged")
+        if result[1] != self.sent.get(version):
+            self.violation(f"{control.name} answered other content under version {version}")
+        return True
+
+    # Faults. Each one ends by itself; several overlap.
+
+    def disturb(self, process):
+        process.disturbed_at = time.monotonic()
+        if process in self.controls:
+            self.stable_since = time.monotonic()
+
+    async def fault_kill(self, process):
+        process.kill()
+        await asyncio.sleep(self.random.uniform(0.1, 2.0))
+        process.start()
+
+    async def fault_term(self, process):
+        process.signal(signal.SIGTERM)
+        for _ in range(60):
+            if process.child.poll() is not None:
+                break
+            await asyncio.sleep(0.1)
+        process.kill()
+        process.start()
+
+    async def fault_pause(self, process):
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 4.0))
+        process.signal(signal.SIGCONT)
+
+    async def fault_reload(self, process):
+        self.random.shuffle(process.settings["seeds"])
+        with open(os.path.join(self.folder, process.name + ".json"), "w", encoding="utf-8") as file:
+            json.dump(process.settings, file)
+        process.signal(signal.SIGHUP)
+
+    async def fault_link(self, control):
+        control.set_fault(self.random.choice(Proxy.FAULTS))
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        control.set_fault(None)
+
+    async def fault_full_disk(self, control):
+        pid = control.child.pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        if control.child.poll() is None:
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+
+    async def fault_torn_tail(self, control):
+        control.kill()
+        folder = control.settings["data_directory"]
+        segments = sorted(name for name in os.listdir(folder) if name.startswith("segment"))
+        if segments:
+            with open(os.path.join(folder, segments[-1]), "ab") as file:
+                file.write(self.random.randbytes(self.random.randint(1, 200)))
+        await asyncio.sleep(0.3)
+        control.start()
+
+    async def fault_wipe(self, control):
+        control.kill()
+        shutil.rmtree(control.settings["data_directory"])
+        control.settings["first_start"] = False
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        control.start()
+
+    async def fault_all_controls(self, _control):
+        for control in self.controls:
+            control.kill()
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        for control in self.controls:
+            control.start()
+
+    async def inject_controls(self):
+        """One control instance is disturbed at a time, so that the quorum bears it; all may be killed."""
+        kinds = [
+            self.fault_kill,
+            self.fault_term,
+            self.fault_pause,
+            self.fault_reload,
+            self.fault_link,
+            self.fault_full_disk,
+            self.fault_torn_tail,
+            self.fault_wipe,
+            self.fault_all_controls,
+        ]
+        while self.injecting:
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            control = self.random.choice(self.controls)
+            fault = self.random.choice(kinds)
+            await self.run_fault(fault, control)
+            if fault in (self.fault_wipe, self.fault_all_controls, self.fault_torn_tail):
+                await asyncio.sleep(CALM_SECONDS)
+
+    async def inject_entries(self):
+        kinds = [self.fault_kill, self.fault_term, self.fault_pause, self.fault_reload]
+        while self.injecting:
+            await asyncio.sleep(self.random.uniform(0.2, 2.5))
+            await self.run_fault(self.random.choice(kinds), self.random.choice(self.entries))
+
+    async def run_fault(self, fault, process):
+        self.counts["faults"] += 1
+        print(f"{time.monotonic() - self.started:7.2f} {fault.__name__} {process.name}", file=self.journal)
+        self.disturb(process)
+        touched = self.controls if fault == self.fault_all_controls else [process]
+        try:
+            await fault(process)
+        finally:
+            for one in touched:
+                self.disturb(one)
+
+    async def change_upstreams(self):
+        while self.injecting:
+            await asyncio.sleep(self.random.uniform(1.0, 3.0))
+            upstream = self.random.choice(self.upstreams)
+            if self.random.random() < 0.4:
+                upstream.stop()
+                self.upstreams.remove(upstream)
+            else:
+                await self.drain(upstream)
+            await asyncio.sleep(self.random.uniform(ADDRESS_REUSE_SECONDS, 3.0))
+            await self.add_upstream(self.random.choice(["desk", "desk", "feed"]), upstream.slot)
+
+    async def drain(self, upstream):
+        upstream.state = "draining"
+        for _ in range(20):
+            if await upstream.beat():
+                break
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(4.5)
+        path = f"/v1/Instances.Deregister/i-{upstream.number:08x}"
+        await call(self.random.choice(self.controls).api, "POST", path, json.dumps({"born": upstream.born}).encode())
+        upstream.stop()
+        self.upstreams.remove(upstream)
+
+    # The run.
+
+    async def wait_until_served(self):
+        end = time.monotonic() + START_SECONDS
+        while time.monotonic() < end:
+            if not self.acknowledged:
+                await self.replace_config()
+            if self.acknowledged and all(entry.ready for entry in self.entries):
+                return
+            await asyncio.sleep(0.1)
+        self.violation("the system does not start")
+
+    async def run(self, seconds):
+        self.results = []
+        self.injecting = True
+        with open(os.path.join(self.folder, "faults.log"), "w", encoding="utf-8") as self.journal:
+            await self.set_up()
+            steady = [asyncio.create_task(self.watch_readiness())]
+            await self.wait_until_served()
+            steady += [asyncio.create_task(self.open_flows()), asyncio.create_task(self.operate())]
+            faults = [
+                asyncio.create_task(task())
+                for task in (self.inject_controls, self.inject_entries, self.change_upstreams)
+            ]
+            await asyncio.sleep(seconds)
+            self.injecting = False
+            await asyncio.gather(*faults)
+            await self.check_recovery()
+            # Connections that are open now end with the run; their errors say nothing.
+            asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+
+    async def check_recovery(self):
+        for process in self.controls + self.entries:
+            if process.child.poll() is not None:
+                self.violation(f"{process.name} ended by itself with {process.child.returncode}")
+                process.start()
+        await asyncio.sleep(RECOVER_SECONDS)
+        healed = time.monotonic()
+        before = self.acknowledged
+        await asyncio.sleep(4.0)
+        if self.acknowledged == before:
+            self.violation("no configuration is acknowledged after the faults")
+        reads = [await self.read_config() for _ in range(10)]
+        if not any(reads):
+            self.violation("the configuration can't be read after the faults")
+        after = [served for started, served in self.results if started > healed]
+        if not after or sum(after) < LEAST_SERVED_AT_THE_END * len(after):
+            self.violation(f"{sum(after)} of {len(after)} flows are served after the faults")
+        await asyncio.sleep(APPLY_SECONDS)
+        newest = self.acknowledged
+        await asyncio.sleep(APPLY_SECONDS)
+        behind = [entry.name for entry in self.entries if self.versions_seen.get(entry.child.pid, 0) < newest]
+        if behind:
+            self.violation(f"version {newest} is not in force at {behind}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", default="build/bin")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--net", type=int, default=1, help="third byte of the addresses, for runs side by side")
+    parser.add_argument("--keep", help="folder for the logs of a failed seed")
+    arguments = parser.parse_args()
+    folder = tempfile.mkdtemp(prefix="lacewingwalk-soak-")
+    world = World(arguments, folder)
+    random.seed(arguments.seed)
+    try:
+        asyncio.run(world.run(arguments.seconds))
+    finally:
+        for process in world.controls + world.entries:
+            if process.child is not None:
+                process.kill()
+    counts = " ".join(f"{name} {count}" for name, count in world.counts.items())
+    print(f"seed {arguments.seed}: {counts} violations {len(world.violations)}")
+    for violation in world.violations:
+        print("  " + violation)
+    if world.violations and arguments.keep:
+        shutil.copytree(folder, os.path.join(arguments.keep, f"seed-{arguments.seed}"), dirs_exist_ok=True)
+    shutil.rmtree(folder)
+    return 1 if world.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
