Send entry instances differences of routes, from one control instance at a time

Cause: each entry instance polled all control instances, and each of these sent the complete configuration when it had a newer one.

Change: replies name the version in force; routes are fetched from one control instance, in the own availability zone if it has them, as a difference if the version here is among its newest 16, and without what steering does not need. A control instance gets no second poll before its reply.

--- /dev/null
+++ b/src/libs/directory/routehistory.cpp
@@ -0,0 +1,96 @@
+#include "directory/routehistory.h"
+
+#include <map>
+#include <utility>
+
+namespace Directory {
+
+namespace {
+
+/// A storm brings some versions a second, and an entry instance polls more than once a second.
+constexpr size_t kMaxVersions = 16;
+
+using Place = std::pair<uint32_t, uint32_t>;
+using RoutesByPlace = std::map<Place, std::string>;
+
+RoutesByPlace
+ByPlace(const lw::fleet::RouteUpdate& aComplete)
+{
+  RoutesByPlace routes;
+  for (const lw::config::Route& route : aComplete.routes()) {
+    routes[{ route.address(), route.port() }] = route.SerializeAsString();
+  }
+  return routes;
+}
+
+/// Keeps only what decides where a flow goes: a complete configuration with names and limits takes
+/// several times the bytes.
+lw::config::Route
+ForSteering(const lw::config::Route& aRoute)
+{
+  lw::config::Route route;
+  route.set_address(aRoute.address());
+  route.set_port(aRoute.port());
+  *route.mutable_services() = aRoute.services();
+  return route;
+}
+
+} // namespace
+
+void
+AddVersion(RouteHistory& aHistory, const lw::config::Declaration& aDeclaration)
+{
+  if (aDeclaration.version() <= NewestVersion(aHistory)) {
+    return;
+  }
+  lw::fleet::RouteUpdate update;
+  update.set_version(aDeclaration.version());
+  update.set_max_flow_idle_ms(aDeclaration.max_flow_idle_ms());
+  for (const lw::config::Route& route : aDeclaration.routes()) {
+    *update.add_routes() = ForSteering(route);
+  }
+  aHistory.mVersions.push_back(std::move(update));
+  if (aHistory.mVersions.size() > kMaxVersions) {
+    aHistory.mVersions.pop_front();
+  }
+}
+
+uint64_t
+NewestVersion(const RouteHistory& aHistory)
+{
+  return aHistory.mVersions.empty() ? 0 : aHistory.mVersions.back().version();
+}
+
+lw::fleet::RouteUpdate
+UpdateFrom(const RouteHistory& aHistory, uint64_t aVersion)
+{
+  const lw::fleet::RouteUpdate& newest = aHistory.mVersions.back();
+  for (const lw::fleet::RouteUpdate& base : aHistory.mVersions) {
+    if (base.version() != aVersion) {
+      continue;
+    }
+    lw::fleet::RouteUpdate update;
+    update.set_version(newest.version());
+    update.set_base_version(aVersion);
+    update.set_max_flow_idle_ms(newest.max_flow_idle_ms());
+    RoutesByPlace before = ByPlace(base);
+    for (const lw::config::Route& route : newest.routes()) {
+      const auto known = before.find({ route.address(), route.port() });
+      if (known == before.end() || known->second != route.SerializeAsString()) {
+        *update.add_routes() = route;
+      }
+      if (known != before.end()) {
+        before.erase(known);
+      }
+    }
+    for (const auto& [place, route] : before) {
+      lw::fleet::RouteAddress* removed = update.add_removed();
+      removed->set_address(place.first);
+      removed->set_port(place.second);
+    }
+    return update;
+  }
+  return newest;
+}
+
+} // namespace Directory
--- a/src/libs/fleet/directoryservice.cpp
+++ b/src/libs/fleet/directoryservice.cpp
@@ -18,9 +18,11 @@
 
 DirectoryService::DirectoryService(const Control::ConfigStore& aStore,
                                    const Control::LogDriver& aLog,
+                                   std::string aAvailabilityZone,
                                    uint64_t aEpoch)
   : mStore(aStore)
   , mLog(aLog)
+  , mAvailabilityZone(std::move(aAvailabilityZone))
 {
   mTable.mEpoch = aEpoch;
 }
@@ -65,8 +67,10 @@
     TakeRestored(now);
   }
   Directory::FillReply(mTable, aPoll, now, reply);
-  if (mDeclaration.version() > aPoll.declared_version()) {
-    *reply.mutable_declaration() = mDeclaration;
+  reply.set_availability_zone(mAvailabilityZone);
+  reply.set_declared_version(Directory::NewestVersion(mRoutes));
+  if (aPoll.wants_routes() && reply.declared_version() > aPoll.declared_version()) {
+    *reply.mutable_routes() = Directory::UpdateFrom(mRoutes, aPoll.declared_version());
   }
   for (const Base::InstanceId instance : mLog.Members()) {
     reply.add_control_instances(instance.mValue);
@@ -121,10 +125,7 @@
   for (const lw::config::Departure& departure : state.departures()) {
     Directory::MarkDeparted(mTable, departure, aNow);
   }
-  if (state.declaration().version() > mDeclaration.version()) {
-    mDeclaration = state.declaration();
-    mDeclaration.clear_document();
-  }
+  Directory::AddVersion(mRoutes, state.declaration());
 }
 
 void
--- a/src/libs/fleet/directoryservice.h
+++ b/src/libs/fleet/directoryservice.h
@@ -3,6 +3,7 @@
 #include "control/configstore.h"
 #include "control/logdriver.h"
 #include "directory/announcements.h"
+#include "directory/routehistory.h"
 
 #include "fleet.pb.h"
 
@@ -21,6 +22,7 @@
   /// \param aEpoch is random for each run.
   DirectoryService(const Control::ConfigStore& aStore,
                    const Control::LogDriver& aLog,
+                   std::string aAvailabilityZone,
                    uint64_t aEpoch);
 
   Directory::AnnounceOutcome Announce(const Directory::Announcement& aAnnouncement);
@@ -54,11 +56,12 @@
 
   const Control::ConfigStore& mStore;
   const Control::LogDriver& mLog;
+  const std::string mAvailabilityZone;
   mutable std::mutex mMutex;
   Directory::AnnouncementTable mTable;
-  /// Version of the store that mTable and mDeclaration reflect.
+  /// Version of the store that mTable and mRoutes reflect.
   uint64_t mStoreVersion = 0;
-  lw::config::Declaration mDeclaration;
+  Directory::RouteHistory mRoutes;
   std::map<uint32_t, Poller> mPollers;
   lw::fleet::PollReply mRestored;
 };
--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -18,6 +18,11 @@
 /// A control instance without a reply for this long is lost, and its connection is opened again:
 /// a connection may be silent for good while a new one works.
 constexpr milliseconds kReplyLimit{ 1300 };
+/// Another control instance is asked for routes after this time. A complete configuration of some
+/// hundred routes takes a tenth of a second on the slowest links.
+constexpr milliseconds kFetchLimit{ 600 };
+/// Time for the routes that have arrived to come into force here.
+constexpr milliseconds kFetchPause{ 20 };
 /// The kernel repeats the first packet of a connection only after a second, so an attempt that met
 /// a machine without power is given up and made again before that.
 constexpr int kConnectTimeoutMs = 250;
@@ -123,26 +128,60 @@
   socket.connect(absl::StrCat("tcp://", Base::ToString(endpoint)));
   aTarget.mSocket = std::move(socket);
   aTarget.mOpenedAt = aNow;
+  aTarget.mAwaitedSince.reset();
 }
 
 void
-Poller::SendPolls(Base::TimePoint /*aNow*/)
+Poller::SendPolls(Base::TimePoint aNow)
 {
   for (auto& [control, target] : mTargets) {
-    lw::fleet::Poll poll;
-    poll.set_number(++mNextNumber);
-    poll.set_instance(mSettings.mInstance);
-    poll.set_availability_zone(mSettings.mAvailabilityZone);
-    poll.set_declared_version(mDeclaredVersion);
-    poll.set_directory_epoch(target.mEpoch);
-    poll.set_directory_revision(target.mRevision);
-    poll.set_peers_hash(mPeersHash);
-    // Without a connection nothing is queued; the next interval polls again.
-    static_cast<void>(
-      target.mSocket.send(zmq::buffer(poll.SerializeAsString()), zmq::send_flags::dontwait));
+    // A second poll before the reply would bring the same again over a link that is slow already.
+    if (!target.mAwaitedSince.has_value() || aNow - *target.mAwaitedSince >= kReplyLimit) {
+      SendPoll(target, false, aNow);
+    }
   }
 }
 
+void
+Poller::SendPoll(Target& aTarget, bool aWantsRoutes, Base::TimePoint aNow)
+{
+  lw::fleet::Poll poll;
+  poll.set_number(++mNextNumber);
+  poll.set_instance(mSettings.mInstance);
+  poll.set_availability_zone(mSettings.mAvailabilityZone);
+  poll.set_declared_version(mDeclaredVersion);
+  poll.set_wants_routes(aWantsRoutes);
+  poll.set_directory_epoch(aTarget.mEpoch);
+  poll.set_directory_revision(aTarget.mRevision);
+  poll.set_peers_hash(mPeersHash);
+  // Without a connection nothing is queued; the next interval polls again.
+  if (aTarget.mSocket.send(zmq::buffer(poll.SerializeAsString()), zmq::send_flags::dontwait)) {
+    aTarget.mAwaitedSince = aNow;
+  }
+}
+
+bool
+Poller::HasNearSource(Base::TimePoint aNow) const
+{
+  return std::any_of(mTargets.begin(), mTargets.end(), [&](const auto& aItem) {
+    const Target& target = aItem.second;
+    return target.mAvailabilityZone == mSettings.mAvailabilityZone &&
+           target.mDeclaredVersion > mDeclaredVersion && aNow - target.mLastReply < kReplyLimit;
+  });
+}
+
+void
+Poller::FetchRoutes(Target& aTarget, Base::TimePoint aNow)
+{
+  const bool near = aTarget.mAvailabilityZone == mSettings.mAvailabilityZone;
+  if (aTarget.mDeclaredVersion <= mDeclaredVersion || aNow < mNextFetch ||
+      (!near && HasNearSource(aNow))) {
+    return;
+  }
+  mNextFetch = aNow + kFetchLimit;
+  SendPoll(aTarget, true, aNow);
+}
+
 void
 Poller::WaitForReplies(Base::TimePoint aUntil)
 {
@@ -184,6 +223,14 @@
     aTarget.mEpoch = reply.directory_epoch();
     aTarget.mRevision = reply.directory_revision();
     aTarget.mLastReply = Base::RuntimeClock::now();
+    aTarget.mAwaitedSince.reset();
+    aTarget.mDeclaredVersion = reply.declared_version();
+    aTarget.mAvailabilityZone = reply.availability_zone();
+    if (reply.has_routes()) {
+      mNextFetch = aTarget.mLastReply + kFetchPause;
+    } else {
+      FetchRoutes(aTarget, aTarget.mLastReply);
+    }
     const bool regained = !std::exchange(aTarget.mAnswers, true);
     if (reply.connected()) {
       mMembers.clear();
--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -69,6 +69,10 @@
     uint64_t mRevision = 0;
     Base::TimePoint mLastReply;
     Base::TimePoint mOpenedAt;
+    /// When a poll was sent that is not answered yet.
+    std::optional<Base::TimePoint> mAwaitedSince;
+    uint64_t mDeclaredVersion = 0;
+    std::string mAvailabilityZone;
     bool mAnswers = false;
     /// Named by the settings, or by a member of the log in its newest reply.
     bool mWanted = true;
@@ -78,6 +82,9 @@
   void UpdateTargets(Base::TimePoint aNow);
   void OpenSocket(Base::InstanceId aControl, Target& aTarget, Base::TimePoint aNow);
   void SendPolls(Base::TimePoint aNow);
+  void SendPoll(Target& aTarget, bool aWantsRoutes, Base::TimePoint aNow);
+  void FetchRoutes(Target& aTarget, Base::TimePoint aNow);
+  bool HasNearSource(Base::TimePoint aNow) const;
   void WaitForReplies(Base::TimePoint aUntil);
   void ReceiveFrom(Base::InstanceId aControl, Target& aTarget);
 
@@ -94,6 +101,8 @@
   std::map<Base::InstanceId, Target> mTargets;
   std::vector<Base::InstanceId> mMembers;
   uint64_t mPeersHash = 0;
+  /// No other control instance is asked for routes before that.
+  Base::TimePoint mNextFetch;
   uint64_t mNextNumber = 0;
 };
 
--- a/src/libs/steering/routetable.cpp
+++ b/src/libs/steering/routetable.cpp
@@ -5,25 +5,29 @@
 namespace Steering {
 
 bool
-Update(RouteTable& aTable, const lw::config::Declaration& aDeclaration)
+Update(RouteTable& aTable, const lw::fleet::RouteUpdate& aUpdate)
 {
-  if (aDeclaration.version() <= aTable.mVersion) {
+  const bool complete = aUpdate.base_version() == 0;
+  if (aUpdate.version() <= aTable.mVersion ||
+      (!complete && aUpdate.base_version() != aTable.mVersion)) {
     return false;
   }
-  std::map<Base::Endpoint, Route> routes;
-  for (const lw::config::Route& declared : aDeclaration.routes()) {
+  if (complete) {
+    aTable.mRoutes.clear();
+  }
+  for (const lw::fleet::RouteAddress& removed : aUpdate.removed()) {
+    aTable.mRoutes.erase({ removed.address(), static_cast<uint16_t>(removed.port()) });
+  }
+  for (const lw::config::Route& declared : aUpdate.routes()) {
     Route route;
-    route.mName = declared.name();
-    route.mKind = declared.kind();
-    route.mLatencyObjectiveMs = declared.latency_objective_ms();
     for (const lw::config::WeightedService& target : declared.services()) {
       route.mServices.push_back({ target.service(), target.weight() });
     }
-    routes[{ declared.address(), static_cast<uint16_t>(declared.port()) }] = std::move(route);
+    aTable.mRoutes[{ declared.address(), static_cast<uint16_t>(declared.port()) }] =
+      std::move(route);
   }
-  aTable.mVersion = aDeclaration.version();
-  aTable.mRoutes = std::move(routes);
-  aTable.mMaxFlowIdleMs = aDeclaration.max_flow_idle_ms();
+  aTable.mVersion = aUpdate.version();
+  aTable.mMaxFlowIdleMs = aUpdate.max_flow_idle_ms();
   return true;
 }
 
--- a/src/libs/steering/routetable.h
+++ b/src/libs/steering/routetable.h
@@ -3,7 +3,7 @@
 #include "base/endpoint.h"
 #include "base/random.h"
 
-#include "config.pb.h"
+#include "fleet.pb.h"
 
 #include <cstdint>
 #include <map>
@@ -22,10 +22,7 @@
 /// Where new flows to an address may go.
 struct Route
 {
-  std::string mName;
   std::vector<WeightedService> mServices;
-  lw::config::RequestKind mKind = lw::config::REQUEST_KIND_UNSPECIFIED;
-  uint32_t mLatencyObjectiveMs = 0;
 };
 
 /// Routes of the declared configuration in force at an entry instance. Bounded by the
@@ -37,10 +34,11 @@
   uint32_t mMaxFlowIdleMs = 0;
 };
 
-/// Takes a declaration into force if its version is higher.
-/// \return true if it is in force now and was not before.
+/// Takes routes into force if their version is higher. A difference to another version than the one
+/// in force is left out; the routes are polled again.
+/// \return true if they are in force now and were not before.
 bool
-Update(RouteTable& aTable, const lw::config::Declaration& aDeclaration);
+Update(RouteTable& aTable, const lw::fleet::RouteUpdate& aUpdate);
 
 /// \return one of the route's services, drawn by weight.
 const std::string&
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -272,7 +272,7 @@
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
-  return aReply.has_declaration() && Update(aState.mRoutes, aReply.declaration());
+  return aReply.has_routes() && Update(aState.mRoutes, aReply.routes());
 }
 
 void
--- /dev/null
+++ b/tests/auto/directory/tst_routehistory.cpp
@@ -0,0 +1,75 @@
+#include "directory/routehistory.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+namespace {
+
+lw::config::Declaration
+MakeDeclaration(uint64_t aVersion, const std::set<uint32_t>& aPorts)
+{
+  lw::config::Declaration declaration;
+  declaration.set_version(aVersion);
+  for (const uint32_t port : aPorts) {
+    lw::config::Route* route = declaration.add_routes();
+    route->set_name("a name that steering does not need");
+    route->set_address(1);
+    route->set_port(port);
+    route->add_services()->set_service("desk");
+  }
+  return declaration;
+}
+
+} // namespace
+
+TEST_GROUP(RouteHistory)
+{
+  Directory::RouteHistory mHistory;
+};
+
+// Guards against whole configurations on links that take a second for one, at each change.
+TEST(RouteHistory, KnownVersionGetsTheDifference)
+{
+  Directory::AddVersion(mHistory, MakeDeclaration(3, { 1, 2, 3 }));
+  Directory::AddVersion(mHistory, MakeDeclaration(5, { 2, 3, 4 }));
+  const lw::fleet::RouteUpdate update = Directory::UpdateFrom(mHistory, 3);
+  LONGS_EQUAL(3, update.base_version());
+  LONGS_EQUAL(5, update.version());
+  LONGS_EQUAL(1, update.routes_size());
+  LONGS_EQUAL(4, update.routes(0).port());
+  LONGS_EQUAL(1, update.removed_size());
+  LONGS_EQUAL(1, update.removed(0).port());
+}
+
+// Guards against a changed route that is left out of the difference.
+TEST(RouteHistory, ChangedServiceIsPartOfTheDifference)
+{
+  lw::config::Declaration declaration = MakeDeclaration(3, { 1, 2 });
+  Directory::AddVersion(mHistory, declaration);
+  declaration.set_version(4);
+  declaration.mutable_routes(1)->mutable_services(0)->set_weight(7);
+  Directory::AddVersion(mHistory, declaration);
+  LONGS_EQUAL(1, Directory::UpdateFrom(mHistory, 3).routes_size());
+}
+
+// Guards against a difference to a version that is not known, and against an older version.
+TEST(RouteHistory, UnknownVersionGetsAllRoutes)
+{
+  Directory::AddVersion(mHistory, MakeDeclaration(5, { 1, 2 }));
+  Directory::AddVersion(mHistory, MakeDeclaration(4, { 1 }));
+  const lw::fleet::RouteUpdate update = Directory::UpdateFrom(mHistory, 4);
+  LONGS_EQUAL(0, update.base_version());
+  LONGS_EQUAL(2, update.routes_size());
+  CHECK_TRUE(update.routes(0).name().empty());
+}
+
+// Guards against a history that grows with each change.
+TEST(RouteHistory, HistoryIsBounded)
+{
+  for (uint64_t version = 1; version <= 100; ++version) {
+    Directory::AddVersion(mHistory, MakeDeclaration(version, { 1 }));
+  }
+  CHECK_TRUE(mHistory.mVersions.size() <= 16);
+  LONGS_EQUAL(100, Directory::NewestVersion(mHistory));
+}
--- a/tests/auto/steering/fixture.cpp
+++ b/tests/auto/steering/fixture.cpp
@@ -37,10 +37,10 @@
 {
   lw::fleet::PollReply reply;
   reply.set_connected(true);
-  lw::config::Declaration* declaration = reply.mutable_declaration();
-  declaration->set_version(aVersion);
+  lw::fleet::RouteUpdate* update = reply.mutable_routes();
+  update->set_version(aVersion);
   if (aWithRoute) {
-    lw::config::Route* route = declaration->add_routes();
+    lw::config::Route* route = update->add_routes();
     route->set_address(0x0a000001);
     route->set_port(80);
     route->add_services()->set_service("desk");
--- a/tests/auto/steering/tst_steering.cpp
+++ b/tests/auto/steering/tst_steering.cpp
@@ -76,6 +76,25 @@
   LONGS_EQUAL(1, mState.mRoutes.mRoutes.size());
 }
 
+// Guards against a difference that is applied to another version than it was made for.
+TEST(Steering, DifferenceNeedsItsBaseVersion)
+{
+  Declare(5);
+  lw::fleet::PollReply reply;
+  lw::fleet::RouteUpdate* update = reply.mutable_routes();
+  update->set_version(7);
+  update->set_base_version(4);
+  lw::fleet::RouteAddress* removed = update->add_removed();
+  removed->set_address(0x0a000001);
+  removed->set_port(80);
+  CHECK_FALSE(Steering::TakeReply(mState, reply, mNow));
+  LONGS_EQUAL(1, mState.mRoutes.mRoutes.size());
+  update->set_base_version(5);
+  CHECK_TRUE(Steering::TakeReply(mState, reply, mNow));
+  LONGS_EQUAL(0, mState.mRoutes.mRoutes.size());
+  LONGS_EQUAL(7, mState.mRoutes.mVersion);
+}
+
 // Guards against final refusals in the first moments of an instance, when upstreams are missing
 // that have not yet announced themselves again.
 TEST(Steering, MissingUpstreamsAreAwaitedAfterAStart)
