--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <random>
 #include <utility>
 
 namespace Control {
@@ -21,8 +20,6 @@
 constexpr milliseconds kTickInterval{ 25 };
 constexpr milliseconds kReleaseInterval{ 1000 };
 constexpr milliseconds kHandOverLimit{ 2000 };
-/// Pause between attempts to use a data directory again after a failed write.
-constexpr milliseconds kRecoveryInterval{ 500 };
 /// Messages handled before timers and requests get their turn.
 constexpr int kMaxMessagesPerTurn = 256;
 
@@ -39,18 +36,12 @@
   return static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
-uint64_t
-RandomSeed()
-{
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
-
 } // namespace
 
-LogDriver::LogDriver(const ControlSettings& aSettings, ConfigStore& aStore)
+LogDriver::LogDriver(const ControlSettings& aSettings, ConfigStore& aStore, uint64_t aSeed)
   : mSettings(aSettings)
   , mStore(aStore)
+  , mRandom{ aSeed }
 {
 }
 
@@ -81,29 +72,6 @@
   return absl::OkStatus();
 }
 
-absl::Status
-LogDriver::OpenReplica(const Consensus::Settings& aSettings)
-{
-  std::vector<std::string> notices;
-  absl::StatusOr<Replication::Replica> replica =
-    Replication::OpenReplica(aSettings,
-                             PosixFiles(),
-                             mSettings.mDataDirectory,
-                             MakePorts(),
-                             Base::RandomSource{ RandomSeed() },
-                             Base::RuntimeClock::now(),
-                             notices);
-  for (const std::string& notice : notices) {
-    LOG(WARNING) << "[storage] " << notice << ".";
-  }
-  if (!replica.ok()) {
-    return replica.status();
-  }
-  mReplica = *std::move(replica);
-  mFailure = absl::OkStatus();
-  return absl::OkStatus();
-}
-
 void
 LogDriver::Stop()
 {
@@ -258,57 +226,6 @@
   }
 }
 
-void
-LogDriver::TakeKnownInstances()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  if (!mNewInstances.empty()) {
-    mReplica.mSettings.mInstances = std::exchange(mNewInstances, {});
-  }
-}
-
-void
-LogDriver::RecoverReplica()
-{
-  const Base::TimePoint now = Base::RuntimeClock::now();
-  if (!mReplica.mNode.mFailed || now < mNextRecovery) {
-    return;
-  }
-  mNextRecovery = now + kRecoveryInterval;
-  // What the failed write left behind is unknown, so the directory is read again from the start.
-  const absl::Status opened = OpenReplica(mReplica.mSettings);
-  if (opened.ok()) {
-    LOG(INFO) << "[storage] The data directory works again.";
-  } else {
-    LOG(WARNING) << "[storage] Still failed: " << opened.message() << ".";
-  }
-}
-
-bool
-LogDriver::TellsRetirement(const Consensus::Message& aMessage) const
-{
-  return aMessage.has_hello_reply() && aMessage.hello_reply().retired() &&
-         aMessage.to_storage() == mReplica.mNode.mHardState.mStorage.mValue;
-}
-
-void
-LogDriver::Rejoin()
-{
-  LOG(WARNING)
-    << "[control] This replica was removed while it was away. It joins again as a new one.";
-  mPending.FailAll();
-  absl::Status status = Storage::Clear(PosixFiles(), mSettings.mDataDirectory);
-  if (status.ok()) {
-    Consensus::Settings settings = mReplica.mSettings;
-    settings.mMayForm = false;
-    status = OpenReplica(settings);
-  }
-  if (!status.ok()) {
-    LOG(ERROR) << "[storage] Cannot start again as a new replica: " << status.message() << ".";
-    mReplica.mNode.mFailed = true;
-  }
-}
-
 void
 LogDriver::TakeRequests()
 {
--- a/src/libs/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -23,7 +23,8 @@
 class LogDriver
 {
 public:
-  LogDriver(const ControlSettings& aSettings, ConfigStore& aStore);
+  /// \param aSeed differs at each start of the process.
+  LogDriver(const ControlSettings& aSettings, ConfigStore& aStore, uint64_t aSeed);
   ~LogDriver();
   LogDriver(const LogDriver&) = delete;
   LogDriver& operator=(const LogDriver&) = delete;
@@ -67,6 +68,7 @@
 
 private:
   Replication::ReplicaPorts MakePorts();
+  // In logrecovery.cpp: the data directory after a failure or a removal.
   absl::Status OpenReplica(const Consensus::Settings& aSettings);
   void TakeKnownInstances();
   void RecoverReplica();
@@ -97,6 +99,7 @@
   std::atomic<bool> mStopping{ false };
 
   // Used by the log thread only.
+  Base::RandomSource mRandom;
   Replication::Replica mReplica;
   PendingChanges mPending;
   std::map<uint64_t, std::vector<RequestPtr>> mReads;
--- a/src/tools/control/main.cpp
+++ b/src/tools/control/main.cpp
@@ -4,6 +4,7 @@
 #include "feedserver.h"
 #include "inspect.h"
 #include "operatorservice.h"
+#include "program/randomseed.h"
 #include "program/startup.h"
 #include "program/stopsignal.h"
 
@@ -42,7 +43,7 @@
 {
   Program::BlockStopSignals();
   Control::ConfigStore store(aSettings.mReportWindow);
-  Control::LogDriver log(aSettings, store);
+  Control::LogDriver log(aSettings, store, Program::RandomSeed());
   Control::FeedServer feed(store, log, aSettings.mFeedListen);
   Control::OperatorService service(store, log);
   absl::Status status = log.Start();
