--- a/src/libs/consensus/membership.h
+++ b/src/libs/consensus/membership.h
@@ -46,7 +46,7 @@
   std::function<bool(StorageId)> mHasCaughtUp;
   /// Instances that are not named may join, and voters that mIsSilent names may be removed.
   bool mOpen = false;
-  std::function<bool(StorageId)> mIsSilent;
+  std::function<bool(StorageId)> mIsSilent = {};
   size_t mMinVoters = 0;
   size_t mMaxVoters = 9;
 };
--- a/tests/auto/consensus/tst_openmembership.cpp
+++ b/tests/auto/consensus/tst_openmembership.cpp
@@ -29,7 +29,7 @@
   Consensus::Membership mMembership;
   std::map<Base::InstanceId, Consensus::StorageId> mJoining;
   std::set<uint64_t> mSilent;
-  const std::vector<Base::InstanceId> mNamed;
+  const std::vector<Base::InstanceId> mNamed{};
 
   void setup() override
   {
--- a/tests/auto/fleet/tst_directorycache.cpp
+++ b/tests/auto/fleet/tst_directorycache.cpp
@@ -7,11 +7,11 @@
 {
   FakeDisk mDisk{ 3 };
 
-  static lw::fleet::PollReply Upstreams(int aCount)
+  static lw::fleet::PollReply Upstreams(uint64_t aCount)
   {
     lw::fleet::PollReply reply;
-    for (int i = 0; i < aCount; ++i) {
-      reply.add_upstreams()->set_id(static_cast<uint64_t>(i + 1));
+    for (uint64_t id = 1; id <= aCount; ++id) {
+      reply.add_upstreams()->set_id(id);
     }
     return reply;
   }
