Tell entry instances of silence instead of each beat, and keep upstreams at one control instance

At 301 machines with 3,000 upstreams a control instance sends 1,649 kB/s and uses 66% of its processor (30 machines: 38 kB/s, 8%; power 1.52), an entry instance takes 1,000 load reports a second (75% of its processor), and after all processes were killed service comes back only after 30 s (0.5 s at 30 machines): each control instance knows every upstream, passes each beat to every entry instance, and a directory of 3,000 is one reply that does not arrive within the poller's patience of 1.3 s on 1.4 Mbit/s, so it is asked for again and again. Replies vouch for all upstreams that are heard, and tell only of silence, return and change, in parts of at most 128. Load reports come every 3 ms for each peer, at least every 100 ms.

--- a/src/libs/directory/announcements.cpp
+++ b/src/libs/directory/announcements.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace Directory {
 
@@ -31,10 +33,40 @@
 {
   auto& upstreams = aTable.mUpstreams;
   for (auto item = upstreams.begin(); item != upstreams.end();) {
-    item = aPredicate(item->second) ? upstreams.erase(item) : std::next(item);
+    if (!aPredicate(item->second)) {
+      ++item;
+      continue;
+    }
+    aTable.mByRevision.erase(item->second.mToldIn);
+    item = upstreams.erase(item);
   }
 }
 
+enum class What
+{
+  Upstream,
+  Presence
+};
+
+/// Gives the upstream a new revision, so that pollers are told.
+void
+Tell(AnnouncementTable& aTable, UpstreamId aId, AnnouncedUpstream& aUpstream, What aWhat)
+{
+  aTable.mByRevision.erase(aUpstream.mToldIn);
+  aUpstream.mToldIn = ++aTable.mRevision;
+  aTable.mByRevision[aUpstream.mToldIn] = aId;
+  if (aWhat == What::Upstream) {
+    aUpstream.mChangedIn = aUpstream.mToldIn;
+  }
+}
+
+uint32_t
+MillisecondsSince(Base::TimePoint aTime, Base::TimePoint aNow)
+{
+  return static_cast<uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aTime).count());
+}
+
 } // namespace
 
 AnnounceOutcome
@@ -46,10 +78,11 @@
     if (aTable.mUpstreams.size() >= kMaxAnnounced) {
       return AnnounceOutcome::Full;
     }
-    aTable.mChangedRevision = ++aTable.mRevision;
-    aTable.mUpstreams[upstream.mId] = {
-      upstream, aAnnouncement.mSequence, aNow, aTable.mRevision, aTable.mRevision
-    };
+    AnnouncedUpstream& added = aTable.mUpstreams[upstream.mId];
+    added.mUpstream = upstream;
+    added.mSequence = aAnnouncement.mSequence;
+    added.mHeardAt = aNow;
+    Tell(aTable, upstream.mId, added, What::Upstream);
     return AnnounceOutcome::Changed;
   }
   AnnouncedUpstream& known = found->second;
@@ -66,14 +99,12 @@
     }
   }
   const bool changed = !sameStart || HasChanged(known.mUpstream, next);
-  ++aTable.mRevision;
+  const bool wasSilent = std::exchange(known.mSilent, false);
   known.mUpstream = std::move(next);
   known.mSequence = aAnnouncement.mSequence;
   known.mHeardAt = aNow;
-  known.mRenewedIn = aTable.mRevision;
-  if (changed) {
-    known.mChangedIn = aTable.mRevision;
-    aTable.mChangedRevision = aTable.mRevision;
+  if (changed || wasSilent) {
+    Tell(aTable, upstream.mId, known, changed ? What::Upstream : What::Presence);
   }
   return changed ? AnnounceOutcome::Changed : AnnounceOutcome::Renewed;
 }
@@ -97,9 +128,18 @@
   }
   if (known.mUpstream.mState == State::Ready || known.mChangedIn == 0) {
     known.mUpstream.mState = std::max(known.mUpstream.mState, State::Draining);
-    known.mChangedIn = ++aTable.mRevision;
-    aTable.mChangedRevision = aTable.mRevision;
-    known.mRenewedIn = known.mChangedIn;
+    Tell(aTable, id, known, What::Upstream);
+  }
+}
+
+void
+MarkSilent(AnnouncementTable& aTable, Base::Duration aSilence, Base::TimePoint aNow)
+{
+  for (auto& [id, upstream] : aTable.mUpstreams) {
+    if (!upstream.mSilent && aNow - upstream.mHeardAt > aSilence) {
+      upstream.mSilent = true;
+      Tell(aTable, id, upstream, What::Presence);
+    }
   }
 }
 
@@ -134,15 +174,25 @@
   const uint64_t known = aPoll.directory_epoch() == aTable.mEpoch ? aPoll.directory_revision() : 0;
   aReply.set_directory_epoch(aTable.mEpoch);
   aReply.set_directory_revision(aTable.mRevision);
-  for (const auto& [id, announced] : aTable.mUpstreams) {
-    const Base::Duration age = aNow - announced.mHeardAt;
+  size_t told = 0;
+  for (auto next = aTable.mByRevision.upper_bound(known); next != aTable.mByRevision.end();
+       ++next) {
+    if (told++ == kMaxUpstreamsInReply) {
+      aReply.set_directory_revision(std::prev(next)->first);
+      aReply.set_more(true);
+      return;
+    }
+    const AnnouncedUpstream& announced = aTable.mUpstreams.at(next->second);
+    const Upstream& upstream = announced.mUpstream;
     if (announced.mChangedIn > known) {
-      *aReply.add_upstreams() = ToMessage(announced.mUpstream, age, aNow);
-    } else if (announced.mRenewedIn > known) {
-      lw::fleet::Renewal* renewal = aReply.add_renewals();
-      renewal->set_tag(TagOf(id, announced.mUpstream.mStartedAtMs).mValue);
-      renewal->set_age_ms(
-        static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+      lw::fleet::Upstream& message = *aReply.add_upstreams();
+      message = ToMessage(upstream, aNow - announced.mHeardAt, aNow);
+      message.set_silent(announced.mSilent);
+    } else {
+      lw::fleet::Presence* presence = aReply.add_presences();
+      presence->set_tag(TagOf(upstream.mId, upstream.mStartedAtMs).mValue);
+      presence->set_age_ms(MillisecondsSince(announced.mHeardAt, aNow));
+      presence->set_silent(announced.mSilent);
     }
   }
 }
--- a/src/libs/directory/announcements.h
+++ b/src/libs/directory/announcements.h
@@ -40,9 +40,11 @@
   Upstream mUpstream;
   uint64_t mSequence = 0;
   Base::TimePoint mHeardAt;
-  /// Table revisions of the last change and of the last announcement.
+  bool mSilent = false;
+  /// Table revision of the last change of mUpstream.
   uint64_t mChangedIn = 0;
-  uint64_t mRenewedIn = 0;
+  /// Table revision of the last change of mUpstream or mSilent.
+  uint64_t mToldIn = 0;
 };
 
 /// Upstreams that announced themselves to this control instance, and departures from the log.
@@ -52,10 +54,11 @@
 {
   /// Tells apart two runs of the control instance; revisions of different epochs do not compare.
   uint64_t mEpoch = 0;
+  /// Grows with each change, but not with announcements that only renew.
   uint64_t mRevision = 0;
-  /// Revision of the newest change other than a renewal.
-  uint64_t mChangedRevision = 0;
   std::map<UpstreamId, AnnouncedUpstream> mUpstreams;
+  /// Upstreams by mToldIn.
+  std::map<uint64_t, UpstreamId> mByRevision;
 };
 
 /// Takes an announcement. A newer start replaces an older one under the same id.
@@ -68,6 +71,10 @@
              const lw::config::Departure& aDeparture,
              Base::TimePoint aNow);
 
+/// Marks upstreams that were not heard for longer than this as silent.
+void
+MarkSilent(AnnouncementTable& aTable, Base::Duration aSilence, Base::TimePoint aNow);
+
 /// Forgets upstreams that were silent for so long that no instance uses them any more. Departed
 /// ones stay, because an entry instance that starts later must learn of them.
 void
@@ -78,7 +85,10 @@
 void
 ForgetDeparted(AnnouncementTable& aTable, const lw::config::State& aState, Base::TimePoint aNow);
 
-/// Adds what changed since the poller's position.
+/// Upstreams in one reply, so that a slow link carries it well within the poller's patience.
+constexpr size_t kMaxUpstreamsInReply = 128;
+
+/// Adds what changed since the poller's position, oldest change first.
 void
 FillReply(const AnnouncementTable& aTable,
           const lw::fleet::Poll& aPoll,
--- a/src/libs/directory/mergeddirectory.cpp
+++ b/src/libs/directory/mergeddirectory.cpp
@@ -43,8 +43,34 @@
   Retire(aDirectory, before, aRetired);
 }
 
+void
+NotePresence(MergedUpstream& aUpstream, Base::InstanceId aControl, bool aSilent)
+{
+  auto& heardBy = aUpstream.mHeardBy;
+  const auto found = std::find(heardBy.begin(), heardBy.end(), aControl);
+  if (aSilent && found != heardBy.end()) {
+    heardBy.erase(found);
+  } else if (!aSilent && found == heardBy.end()) {
+    heardBy.push_back(aControl);
+  }
+}
+
+/// Keeps when the upstreams were last heard, but no longer counts later replies for them.
+void
+EndVouching(MergedDirectory& aDirectory, Base::InstanceId aControl, Base::TimePoint aRepliedAt)
+{
+  for (auto& [tag, upstream] : aDirectory.mByTag) {
+    auto& heardBy = upstream.mHeardBy;
+    if (std::find(heardBy.begin(), heardBy.end(), aControl) != heardBy.end()) {
+      upstream.mHeardAt = std::max(upstream.mHeardAt, aRepliedAt);
+      NotePresence(upstream, aControl, true);
+    }
+  }
+}
+
 void
 MergeUpstream(MergedDirectory& aDirectory,
+              Base::InstanceId aControl,
               const lw::fleet::Upstream& aMessage,
               Base::TimePoint aNow,
               std::vector<RouteTag>& aRetired)
@@ -64,6 +90,7 @@
     const State before = known.mUpstream.mState;
     const State state = std::max(before, next.mUpstream.mState);
     known.mHeardAt = std::max(known.mHeardAt, next.mHeardAt);
+    NotePresence(known, aControl, aMessage.silent());
     if (hasAddress) {
       known.mUpstream = next.mUpstream;
     }
@@ -81,6 +108,7 @@
     }
     Retire(aDirectory, std::exchange(newest->second, next.mTag), aRetired);
   }
+  NotePresence(next, aControl, aMessage.silent());
   aDirectory.mByTag[next.mTag] = next;
   if (next.mUpstream.mAddress.mPort != 0) {
     TakeAddress(aDirectory, next, aRetired);
@@ -90,22 +118,45 @@
 } // namespace
 
 std::vector<RouteTag>
-Merge(MergedDirectory& aDirectory, const lw::fleet::PollReply& aReply, Base::TimePoint aNow)
+Merge(MergedDirectory& aDirectory,
+      Base::InstanceId aControl,
+      const lw::fleet::PollReply& aReply,
+      Base::TimePoint aNow)
 {
+  DirectorySource& source = aDirectory.mSources[aControl];
+  if (source.mEpoch != aReply.directory_epoch()) {
+    EndVouching(aDirectory, aControl, source.mRepliedAt);
+    source.mEpoch = aReply.directory_epoch();
+  }
+  source.mRepliedAt = aNow;
   std::vector<RouteTag> retired;
   for (const lw::fleet::Upstream& upstream : aReply.upstreams()) {
-    MergeUpstream(aDirectory, upstream, aNow, retired);
+    MergeUpstream(aDirectory, aControl, upstream, aNow, retired);
   }
-  for (const lw::fleet::Renewal& renewal : aReply.renewals()) {
-    const auto found = aDirectory.mByTag.find(RouteTag(renewal.tag()));
+  for (const lw::fleet::Presence& presence : aReply.presences()) {
+    const auto found = aDirectory.mByTag.find(RouteTag(presence.tag()));
     if (found != aDirectory.mByTag.end()) {
-      const Base::TimePoint heardAt = aNow - milliseconds(renewal.age_ms());
+      const Base::TimePoint heardAt = aNow - milliseconds(presence.age_ms());
       found->second.mHeardAt = std::max(found->second.mHeardAt, heardAt);
+      NotePresence(found->second, aControl, presence.silent());
     }
   }
   return retired;
 }
 
+Base::TimePoint
+LastHeard(const MergedDirectory& aDirectory, const MergedUpstream& aUpstream)
+{
+  Base::TimePoint heardAt = aUpstream.mHeardAt;
+  for (const Base::InstanceId control : aUpstream.mHeardBy) {
+    const auto source = aDirectory.mSources.find(control);
+    if (source != aDirectory.mSources.end()) {
+      heardAt = std::max(heardAt, source->second.mRepliedAt);
+    }
+  }
+  return heardAt;
+}
+
 const MergedUpstream*
 Find(const MergedDirectory& aDirectory, RouteTag aTag)
 {
@@ -118,7 +169,7 @@
 {
   for (auto item = aDirectory.mByTag.begin(); item != aDirectory.mByTag.end();) {
     const MergedUpstream& upstream = item->second;
-    if (aNow - upstream.mHeardAt <= kForgetAfter) {
+    if (aNow - LastHeard(aDirectory, upstream) <= kForgetAfter) {
       ++item;
       continue;
     }
@@ -132,6 +183,10 @@
     }
     item = aDirectory.mByTag.erase(item);
   }
+  for (auto item = aDirectory.mSources.begin(); item != aDirectory.mSources.end();) {
+    const bool forgotten = aNow - item->second.mRepliedAt > kForgetAfter;
+    item = forgotten ? aDirectory.mSources.erase(item) : std::next(item);
+  }
 }
 
 } // namespace Directory
--- a/src/libs/fleet/directoryservice.cpp
+++ b/src/libs/fleet/directoryservice.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace Fleet {
@@ -13,19 +14,18 @@
 constexpr std::chrono::milliseconds kResponsiveLimit{ 500 };
 /// Entry instances that have not polled for this long are no peers any more.
 constexpr std::chrono::seconds kPollerLifetime{ 3 };
-constexpr std::chrono::seconds kSweepInterval{ 1 };
+constexpr std::chrono::milliseconds kSweepInterval{ 200 };
 
 } // namespace
 
 DirectoryService::DirectoryService(const Control::ConfigStore& aStore,
                                    const Control::LogDriver& aLog,
-                                   std::string aAvailabilityZone,
-                                   uint64_t aEpoch)
+                                   DirectoryServiceSettings aSettings)
   : mStore(aStore)
   , mLog(aLog)
-  , mAvailabilityZone(std::move(aAvailabilityZone))
+  , mSettings(std::move(aSettings))
 {
-  mTable.mEpoch = aEpoch;
+  mTable.mEpoch = mSettings.mEpoch;
 }
 
 Directory::AnnounceOutcome
@@ -33,13 +33,16 @@
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
   const std::lock_guard<std::mutex> lock(mMutex);
-  if (now >= mNextSweep) {
-    mNextSweep = now + kSweepInterval;
-    Directory::ForgetSilent(mTable, now);
-  }
+  Sweep(now);
   return Directory::Announce(mTable, aAnnouncement, now);
 }
 
+bool
+DirectoryService::TakesAnnouncements() const
+{
+  return mLog.IsConnected();
+}
+
 void
 DirectoryService::Leave(const lw::config::Departure& aDeparture)
 {
@@ -63,6 +66,7 @@
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
   const std::lock_guard<std::mutex> lock(mMutex);
+  Sweep(now);
   TakeLogState(now);
   lw::fleet::PollReply reply;
   reply.set_number(aPoll.number());
@@ -71,7 +75,7 @@
     TakeRestored(now);
   }
   Directory::FillReply(mTable, aPoll, now, reply);
-  reply.set_availability_zone(mAvailabilityZone);
+  reply.set_availability_zone(mSettings.mAvailabilityZone);
   reply.set_declared_version(Directory::NewestVersion(mRoutes));
   if (aPoll.wants_routes() && reply.declared_version() > aPoll.declared_version()) {
     *reply.mutable_routes() = Directory::UpdateFrom(mRoutes, aPoll.declared_version());
@@ -89,9 +93,9 @@
   const Base::TimePoint now = Base::RuntimeClock::now();
   const std::lock_guard<std::mutex> lock(mMutex);
   lw::fleet::PollReply reply;
-  reply.set_directory_revision(mTable.mChangedRevision);
+  reply.set_directory_revision(mTable.mRevision);
   for (const auto& [id, announced] : mTable.mUpstreams) {
-    if (announced.mUpstream.mState == Directory::State::Ready) {
+    if (announced.mUpstream.mState == Directory::State::Ready && !announced.mSilent) {
       *reply.add_upstreams() =
         Directory::ToMessage(announced.mUpstream, now - announced.mHeardAt, now);
     }
@@ -133,27 +137,51 @@
   Directory::AddVersion(mRoutes, state.declaration());
 }
 
+void
+DirectoryService::Sweep(Base::TimePoint aNow)
+{
+  if (aNow < mNextSweep) {
+    return;
+  }
+  mNextSweep = aNow + kSweepInterval;
+  Directory::MarkSilent(mTable, mSettings.mSilence, aNow);
+  Directory::ForgetSilent(mTable, aNow);
+  const size_t before = mPollers.size();
+  for (auto item = mPollers.begin(); item != mPollers.end();) {
+    const bool lost = aNow - item->second.mPolledAt > kPollerLifetime;
+    item = lost ? mPollers.erase(item) : std::next(item);
+  }
+  if (mPollers.size() != before) {
+    CollectPeers();
+  }
+}
+
+void
+DirectoryService::CollectPeers()
+{
+  mPeersByZone.clear();
+  for (const auto& [instance, poller] : mPollers) {
+    Peers& peers = mPeersByZone[poller.mAvailabilityZone];
+    peers.mInstances.push_back(instance);
+    peers.mHash = Base::StableHash({ peers.mHash, instance });
+  }
+}
+
 void
 DirectoryService::FillPeers(const lw::fleet::Poll& aPoll,
                             Base::TimePoint aNow,
                             lw::fleet::PollReply& aReply)
 {
-  mPollers[aPoll.instance()] = { aPoll.availability_zone(), aNow };
-  uint64_t hash = 1;
-  for (auto item = mPollers.begin(); item != mPollers.end();) {
-    if (aNow - item->second.mPolledAt > kPollerLifetime) {
-      item = mPollers.erase(item);
-      continue;
-    }
-    if (item->second.mAvailabilityZone == aPoll.availability_zone()) {
-      aReply.add_peers(item->first);
-      hash = Base::StableHash({ hash, item->first });
-    }
-    ++item;
+  const auto [poller, added] = mPollers.try_emplace(aPoll.instance());
+  const bool moved = poller->second.mAvailabilityZone != aPoll.availability_zone();
+  poller->second = { aPoll.availability_zone(), aNow };
+  if (added || moved) {
+    CollectPeers();
   }
-  aReply.set_peers_hash(hash);
-  if (hash == aPoll.peers_hash()) {
-    aReply.clear_peers();
+  const Peers& peers = mPeersByZone[aPoll.availability_zone()];
+  aReply.set_peers_hash(peers.mHash);
+  if (peers.mHash != aPoll.peers_hash()) {
+    aReply.mutable_peers()->Add(peers.mInstances.begin(), peers.mInstances.end());
   }
 }
 
--- a/src/libs/fleet/directoryservice.h
+++ b/src/libs/fleet/directoryservice.h
@@ -14,26 +14,37 @@
 
 namespace Fleet {
 
+struct DirectoryServiceSettings
+{
+  std::string mAvailabilityZone;
+  /// Random for each run.
+  uint64_t mEpoch = 0;
+  /// An upstream without an announcement for longer than this is silent.
+  Base::Duration mSilence{};
+};
+
 /// Directory of announced upstreams at a control instance, joined with what the log holds. Used by
 /// the thread of the announcements and by that of the polls.
 class DirectoryService
 {
 public:
-  /// \param aEpoch is random for each run.
   DirectoryService(const Control::ConfigStore& aStore,
                    const Control::LogDriver& aLog,
-                   std::string aAvailabilityZone,
-                   uint64_t aEpoch);
+                   DirectoryServiceSettings aSettings);
 
   Directory::AnnounceOutcome Announce(const Directory::Announcement& aAnnouncement);
 
+  /// \return false while this instance is cut off from the log, so that upstreams look for one that
+  /// entry instances hear.
+  bool TakesAnnouncements() const;
+
   /// Takes an upstream out of use at once, as the upstream asked, before the log has it.
   void Leave(const lw::config::Departure& aDeparture);
 
   /// \return the newest start that is known under an id.
   std::optional<uint64_t> StartOf(Directory::UpstreamId aId) const;
 
-  /// \return the upstreams that are ready, and the revision of the newest change.
+  /// \return the upstreams that are ready and heard, and the revision of the newest change.
   lw::fleet::PollReply Upstreams() const;
 
   /// Sets the upstreams of an earlier run. They are used once the log is connected, so that their
@@ -50,13 +61,23 @@
     Base::TimePoint mPolledAt;
   };
 
+  /// Pollers of one availability zone.
+  struct Peers
+  {
+    uint64_t mHash = 1;
+    std::vector<uint32_t> mInstances;
+  };
+
+  void Sweep(Base::TimePoint aNow);
+  void CollectPeers();
+
   void TakeRestored(Base::TimePoint aNow);
   void TakeLogState(Base::TimePoint aNow);
   void FillPeers(const lw::fleet::Poll& aPoll, Base::TimePoint aNow, lw::fleet::PollReply& aReply);
 
   const Control::ConfigStore& mStore;
   const Control::LogDriver& mLog;
-  const std::string mAvailabilityZone;
+  const DirectoryServiceSettings mSettings;
   mutable std::mutex mMutex;
   Directory::AnnouncementTable mTable;
   /// Version of the store that mTable and mRoutes reflect.
@@ -64,6 +85,7 @@
   Base::TimePoint mNextSweep;
   Directory::RouteHistory mRoutes;
   std::map<uint32_t, Poller> mPollers;
+  std::map<std::string, Peers> mPeersByZone;
   lw::fleet::PollReply mRestored;
 };
 
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace Fleet {
@@ -14,6 +15,9 @@
 using asio::ip::udp;
 
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
+/// Interval of load reports for each peer that gets them, so that sending and receiving take the
+/// same time in an availability zone of any size.
+constexpr std::chrono::milliseconds kReportIntervalForPeer{ 3 };
 /// Load reports handled before packets get their turn.
 constexpr int kMaxReportsPerTurn = 32;
 constexpr size_t kMaxReportBytes = 8192;
@@ -140,7 +144,7 @@
   if (aEvent.mRegained) {
     mEvents.Add(EventLog::Line("control_regained").Add("control", control), now);
   }
-  if (Steering::TakeReply(mState, *aEvent.mReply, now)) {
+  if (Steering::TakeReply(mState, aEvent.mControl, *aEvent.mReply, now)) {
     mPoller.SetDeclaredVersion(mState.mRoutes.mVersion);
     mVersionGauge.Set(static_cast<int64_t>(mState.mRoutes.mVersion));
     mEvents.Add(EventLog::Line("config_in_force")
@@ -183,7 +187,16 @@
 void
 EntryNode::SendReports()
 {
-  lw::fleet::LoadReport report = Steering::MakeReport(mState.mLoads, Base::RuntimeClock::now());
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  if (now < mNextReport) {
+    return;
+  }
+  const Base::Duration interval =
+    std::max<Base::Duration>(kTickInterval, kReportIntervalForPeer * mPeers.size());
+  // Ticks come slightly late; without the margin every second one would be too early.
+  mNextReport = now + interval - kTickInterval / 2;
+  lw::fleet::LoadReport report = Steering::MakeReport(mState.mLoads, now);
+  report.set_interval_ms(static_cast<uint32_t>(Milliseconds(interval)));
   report.set_instance(mSettings.mLoadReportListen.mAddress);
   report.set_incarnation(mIncarnation);
   report.set_sequence(++mReportSequence);
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -69,6 +69,7 @@
   std::vector<uint32_t> mPeers;
   uint64_t mIncarnation = 0;
   uint64_t mReportSequence = 0;
+  Base::TimePoint mNextReport;
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -170,16 +170,17 @@
   });
 }
 
-void
+bool
 Poller::FetchRoutes(Target& aTarget, Base::TimePoint aNow)
 {
   const bool near = aTarget.mAvailabilityZone == mSettings.mAvailabilityZone;
   if (aTarget.mDeclaredVersion <= mDeclaredVersion || aNow < mNextFetch ||
       (!near && HasNearSource(aNow))) {
-    return;
+    return false;
   }
   mNextFetch = aNow + kFetchLimit;
   SendPoll(aTarget, true, aNow);
+  return true;
 }
 
 void
@@ -226,10 +227,14 @@
     aTarget.mAwaitedSince.reset();
     aTarget.mDeclaredVersion = reply.declared_version();
     aTarget.mAvailabilityZone = reply.availability_zone();
+    bool polled = false;
     if (reply.has_routes()) {
       mNextFetch = aTarget.mLastReply + kFetchPause;
     } else {
-      FetchRoutes(aTarget, aTarget.mLastReply);
+      polled = FetchRoutes(aTarget, aTarget.mLastReply);
+    }
+    if (reply.more() && !polled) {
+      SendPoll(aTarget, false, aTarget.mLastReply);
     }
     const bool regained = !std::exchange(aTarget.mAnswers, true);
     if (reply.connected()) {
--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -83,7 +83,9 @@
   void OpenSocket(Base::InstanceId aControl, Target& aTarget, Base::TimePoint aNow);
   void SendPolls(Base::TimePoint aNow);
   void SendPoll(Target& aTarget, bool aWantsRoutes, Base::TimePoint aNow);
-  void FetchRoutes(Target& aTarget, Base::TimePoint aNow);
+  /// Asks for newer routes if the target has them and is the one to ask.
+  /// \return true if a poll was sent.
+  bool FetchRoutes(Target& aTarget, Base::TimePoint aNow);
   bool HasNearSource(Base::TimePoint aNow) const;
   void WaitForReplies(Base::TimePoint aUntil);
   void ReceiveFrom(Base::InstanceId aControl, Target& aTarget);
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -43,7 +43,8 @@
   if (zone != zones.end() && IsSuspended(zone->second, aInput.mNow)) {
     return Silent;
   }
-  const bool lapsed = aInput.mNow - aUpstream.mHeardAt > aInput.mLease;
+  const bool lapsed =
+    aInput.mNow - Directory::LastHeard(aInput.mDirectory, aUpstream) > aInput.mLease;
   return lapsed || IsSuspended(LoadOf(aInput.mLoads, aUpstream.mTag), aInput.mNow) ? Silent : Good;
 }
 
--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -1,13 +1,23 @@
 #include "steering/loadreports.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace Steering {
 
 namespace {
 
-/// Several report intervals; older figures say nothing of work that takes some ten milliseconds.
+/// Older figures say nothing of work that takes some ten milliseconds.
 constexpr std::chrono::milliseconds kReportLifetime{ 1000 };
+/// Reports of a peer that may be lost before it counts as silent, where they are rare.
+constexpr int kIntervalsInLifetime = 3;
+
+Base::Duration
+LifetimeOf(const lw::fleet::LoadReport& aReport)
+{
+  const std::chrono::milliseconds interval(aReport.interval_ms());
+  return std::max<Base::Duration>(kReportLifetime, interval * kIntervalsInLifetime);
+}
 
 enum class Sign
 {
@@ -73,7 +83,7 @@
 ExpireReports(PeerReports& aReports, LoadTable& aTable, Base::TimePoint aNow)
 {
   for (auto item = aReports.mByInstance.begin(); item != aReports.mByInstance.end();) {
-    if (aNow - item->second.mReceivedAt < kReportLifetime) {
+    if (aNow - item->second.mReceivedAt < LifetimeOf(item->second.mReport)) {
       ++item;
       continue;
     }
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -61,7 +61,10 @@
 }
 
 Decision
-ForwardTo(const Directory::MergedUpstream& aUpstream, Reason aReason, Base::TimePoint aNow)
+ForwardTo(const State& aState,
+          const Directory::MergedUpstream& aUpstream,
+          Reason aReason,
+          Base::TimePoint aNow)
 {
   Decision decision;
   decision.mAction = Action::Forward;
@@ -69,7 +72,7 @@
   decision.mTag = aUpstream.mTag;
   decision.mUpstream = aUpstream.mUpstream.mId;
   decision.mAddress = aUpstream.mUpstream.mAddress;
-  decision.mDirectoryAge = aNow - aUpstream.mHeardAt;
+  decision.mDirectoryAge = aNow - Directory::LastHeard(aState.mDirectory, aUpstream);
   return decision;
 }
 
@@ -97,7 +100,7 @@
   const std::string& zone = choice.mUpstream->mUpstream.mAvailabilityZone;
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   CountWork(aState, aFlow);
-  Decision decision = ForwardTo(*choice.mUpstream, aReason, aNow);
+  Decision decision = ForwardTo(aState, *choice.mUpstream, aReason, aNow);
   decision.mCandidates = choice.mCandidates;
   decision.mOutstanding = choice.mOutstanding;
   return decision;
@@ -109,7 +112,7 @@
   if (aFlow.mConfirmed) {
     const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, aFlow.mTag);
     return upstream == nullptr ? Refuse(Action::Drop, Reason::UnknownTag)
-                               : ForwardTo(*upstream, Reason::RepeatedOpening, aNow);
+                               : ForwardTo(aState, *upstream, Reason::RepeatedOpening, aNow);
   }
   Blame(aState, aFlow, aNow);
   return Place(aState, aSettings, aFlow, Reason::RepeatedOpening, aNow);
@@ -200,11 +203,11 @@
     return Refuse(Action::Drop, Reason::UnknownTag);
   }
   if (upstream->mUpstream.mState == Directory::State::Gone) {
-    Decision decision = ForwardTo(*upstream, Reason::UpstreamGone, aNow);
+    Decision decision = ForwardTo(aState, *upstream, Reason::UpstreamGone, aNow);
     decision.mAction = aPacket.mKind == PacketKind::Abort ? Action::Drop : Action::Reset;
     return decision;
   }
-  Decision decision = ForwardTo(*upstream, Reason::Tagged, aNow);
+  Decision decision = ForwardTo(aState, *upstream, Reason::Tagged, aNow);
   decision.mHandshake = handshake;
   return decision;
 }
@@ -265,9 +268,12 @@
 }
 
 bool
-TakeReply(State& aState, const lw::fleet::PollReply& aReply, Base::TimePoint aNow)
+TakeReply(State& aState,
+          Base::InstanceId aControl,
+          const lw::fleet::PollReply& aReply,
+          Base::TimePoint aNow)
 {
-  Directory::Merge(aState.mDirectory, aReply, aNow);
+  Directory::Merge(aState.mDirectory, aControl, aReply, aNow);
   if (aState.mFirstReplyAt == Base::TimePoint()) {
     aState.mFirstReplyAt = aNow;
   }
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -113,7 +113,10 @@
 /// Takes the reply of a control instance.
 /// \return true if a new configuration is in force.
 bool
-TakeReply(State& aState, const lw::fleet::PollReply& aReply, Base::TimePoint aNow);
+TakeReply(State& aState,
+          Base::InstanceId aControl,
+          const lw::fleet::PollReply& aReply,
+          Base::TimePoint aNow);
 
 /// Ends flows that fell silent and forgets reports and upstreams that are out of date. To be called
 /// about every 100 ms.
--- a/tests/auto/platform/tst_platformsettings.cpp
+++ b/tests/auto/platform/tst_platformsettings.cpp
@@ -27,6 +27,7 @@
                            { "metrics_port", 9464 },
                            { "seeds", { "10.1.0.13:8166", "10.2.0.43:8166" } },
                            { "first_start", true },
+                           { "beat_ms", 1200 },
                            { "machine_losses", 2 },
                            { "data_directory", "/data/x" } };
 
--- a/tests/auto/steering/tst_loadreports.cpp
+++ b/tests/auto/steering/tst_loadreports.cpp
@@ -54,6 +54,23 @@
   LONGS_EQUAL(0, Peers());
 }
 
+// Guards against peers of a large availability zone that count as dead between their rare reports.
+TEST(LoadReports, RareReportsCountForLonger)
+{
+  lw::fleet::LoadReport report;
+  report.set_instance(1);
+  report.set_interval_ms(1500);
+  report.add_loads()->set_tag(7);
+  report.mutable_loads(0)->set_outstanding(3);
+  Steering::TakeReport(mReports, mLoads, report, mNow);
+  mNow += seconds(4);
+  Steering::ExpireReports(mReports, mLoads, mNow);
+  LONGS_EQUAL(3, Peers());
+  mNow += seconds(1);
+  Steering::ExpireReports(mReports, mLoads, mNow);
+  LONGS_EQUAL(0, Peers());
+}
+
 // Guards against an upstream that each instance has to find out by itself, and against a report
 // that overrules what this instance sees.
 TEST(LoadReports, SuspensionByAPeerCountsWithoutOwnAnswers)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -75,6 +75,7 @@
             "metrics_port": METRICS_PORT,
             "seeds": seeds,
             "first_start": True,
+            "beat_ms": 1000,
             "machine_losses": 1,
             "data_directory": os.path.join(world.folder, f"data-{index}"),
         }
