--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -193,6 +193,24 @@
   return flow.mTag;
 }
 
+/// \return true if a later start under the same id may run at the address of this one.
+bool
+MayRunAgain(const Directory::MergedDirectory& aDirectory,
+            const Directory::MergedUpstream& aUpstream)
+{
+  const auto newest = aDirectory.mNewest.find(aUpstream.mUpstream.mId);
+  if (newest == aDirectory.mNewest.end() || newest->second == aUpstream.mTag) {
+    return false;
+  }
+  const Directory::MergedUpstream* later = Directory::Find(aDirectory, newest->second);
+  if (later == nullptr || later->mUpstream.mState == Directory::State::Gone) {
+    return false;
+  }
+  // Only the departure of the later start may be known so far, which names no address.
+  const Base::Endpoint& address = later->mUpstream.mAddress;
+  return address.mPort == 0 || address == aUpstream.mUpstream.mAddress;
+}
+
 Decision
 SteerTagged(State& aState, const Packet& aPacket, Base::TimePoint aNow)
 {
@@ -203,6 +221,11 @@
     return Refuse(Action::Drop, Reason::UnknownTag);
   }
   if (upstream->mUpstream.mState == Directory::State::Gone) {
+    if (MayRunAgain(aState.mDirectory, *upstream)) {
+      // The later start has taken opening packets that were meant for this one, and refuses the
+      // other flows of this one itself.
+      return ForwardTo(aState, *upstream, Reason::UpstreamRestarted, aNow);
+    }
     Decision decision = ForwardTo(aState, *upstream, Reason::UpstreamGone, aNow);
     decision.mAction = aPacket.mKind == PacketKind::Abort ? Action::Drop : Action::Reset;
     return decision;
@@ -248,6 +271,8 @@
       return "unknown_tag";
     case Reason::UpstreamGone:
       return "upstream_gone";
+    case Reason::UpstreamRestarted:
+      return "upstream_restarted";
     case Reason::Malformed:
       break;
   }
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -57,6 +57,7 @@
   NotStarted,
   UnknownTag,
   UpstreamGone,
+  UpstreamRestarted,
   Malformed
 };
 
--- a/tests/auto/steering/fixture.cpp
+++ b/tests/auto/steering/fixture.cpp
@@ -2,7 +2,6 @@
 
 namespace {
 
-constexpr uint64_t kStart = 10;
 constexpr Base::InstanceId kControl{ 1 };
 
 } // namespace
@@ -18,12 +17,13 @@
 void
 SteeringFixture::AddUpstream(uint64_t aId,
                              const std::string& aZone,
-                             lw::fleet::UpstreamState aState)
+                             lw::fleet::UpstreamState aState,
+                             uint64_t aStart)
 {
   lw::fleet::PollReply reply;
   lw::fleet::Upstream* upstream = reply.add_upstreams();
   upstream->set_id(aId);
-  upstream->set_started_at_ms(kStart);
+  upstream->set_started_at_ms(aStart);
   upstream->set_address(static_cast<uint32_t>(aId));
   upstream->set_port(8080);
   upstream->set_service("desk");
@@ -75,5 +75,5 @@
 Directory::RouteTag
 SteeringFixture::Tag(uint64_t aId)
 {
-  return Directory::TagOf(Directory::UpstreamId(aId), kStart);
+  return Directory::TagOf(Directory::UpstreamId(aId), kFirstStart);
 }
--- a/tests/auto/steering/fixture.h
+++ b/tests/auto/steering/fixture.h
@@ -7,12 +7,15 @@
 /// State of an entry instance in availability zone "a" with one route, 10.0.0.1:80 to "desk".
 struct SteeringFixture
 {
+  static constexpr uint64_t kFirstStart = 10;
+
   SteeringFixture();
 
   /// Tells the instance of an upstream, with its number as id and last byte of the address.
   void AddUpstream(uint64_t aId,
                    const std::string& aZone,
-                   lw::fleet::UpstreamState aState = lw::fleet::READY);
+                   lw::fleet::UpstreamState aState = lw::fleet::READY,
+                   uint64_t aStart = kFirstStart);
   /// A control instance that hears the leader answers with this declaration.
   bool Declare(uint64_t aVersion, bool aWithRoute = true);
   Steering::Decision Send(uint16_t aCallerPort,
--- a/tests/auto/steering/tst_steering.cpp
+++ b/tests/auto/steering/tst_steering.cpp
@@ -43,6 +43,20 @@
   CHECK_TRUE(Send(1000, PacketKind::Abort, Tag(1)).mAction == Action::Drop);
 }
 
+// Guards against a reset of a flow that opened at a new start of an upstream before its first
+// announcement was known here, so that its packets carry the tag of the earlier start.
+TEST(Steering, FlowOfARestartedUpstreamIsLeftToIt)
+{
+  AddUpstream(1, "a");
+  AddUpstream(1, "a", lw::fleet::READY, kFirstStart + 1);
+  const auto decision = Send(1000, PacketKind::MidFlow, Tag(1));
+  CHECK_TRUE(decision.mAction == Action::Forward);
+  CHECK_TRUE(decision.mReason == Reason::UpstreamRestarted);
+  LONGS_EQUAL(1, decision.mUpstream.mValue);
+  AddUpstream(1, "a", lw::fleet::GONE, kFirstStart + 1);
+  CHECK_TRUE(Send(1000, PacketKind::MidFlow, Tag(1)).mAction == Action::Reset);
+}
+
 // Guards against new flows at an upstream that leaves.
 TEST(Steering, DrainingUpstreamGetsNoNewFlow)
 {
