Log silence and return of upstreams at entry instances

Cause: an entry instance changes its choice when a control instance says that an upstream fell silent, but logged only complete descriptions, so the reason for a choice could not be found afterwards. Change: lines upstream_silent and upstream_heard, and the silence in upstream lines. The soak names the last error of a call when it finds that nothing is acknowledged, and tests/soak/seededfaults.py builds six faults that it must find (not run yet).

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -158,10 +158,18 @@
                   .Add("upstream", absl::StrCat(absl::Hex(upstream.id())))
                   .Add("started_at_ms", static_cast<int64_t>(upstream.started_at_ms()))
                   .Add("state", lw::fleet::UpstreamState_Name(upstream.state()))
+                  .Add("silent", upstream.silent() ? 1 : 0)
                   .Add("age_ms", upstream.age_ms())
                   .Add("control", control),
                 now);
   }
+  for (const lw::fleet::Presence& presence : aEvent.mReply->presences()) {
+    mEvents.Add(EventLog::Line(presence.silent() ? "upstream_silent" : "upstream_heard")
+                  .Add("tag", presence.tag())
+                  .Add("age_ms", presence.age_ms())
+                  .Add("control", control),
+                now);
+  }
   if (aEvent.mReply->peers_size() > 0) {
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
   }
--- /dev/null
+++ b/tests/soak/seededfaults.py
@@ -0,0 +1,106 @@
+#!/usr/bin/env python3
+"""Builds the programs with one fault after another and shows that the soak finds each of them."""
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+PROGRAMS = ["lw-platform-control", "lw-platform-entry"]
+
+
+class Fault(NamedTuple):
+    name: str
+    path: str
+    before: str
+    after: str
+
+
+FAULTS = [
+    Fault(
+        "packets of unknown upstreams are reset",
+        "src/libs/steering/steering.cpp",
+        "return Refuse(Action::Drop, Reason::UnknownTag);\n  }\n  if (upstream->",
+        "return Refuse(Action::Reset, Reason::UnknownTag);\n  }\n  if (upstream->",
+    ),
+    Fault(
+        "draining upstreams get new flows",
+        "src/libs/steering/choice.cpp",
+        "described.mState != Directory::State::Ready",
+        "described.mState == Directory::State::Gone",
+    ),
+    Fault(
+        "packets are changed",
+        "platform/packetgateway.cpp",
+        "WriteUpstreamPrefix(mBuffer.data(), decision",
+        "bytes[aSize - 1] ^= 1;\n    WriteUpstreamPrefix(mBuffer.data(), decision",
+    ),
+    Fault(
+        "configurations are acknowledged before the log has them",
+        "platform/controlapi.cpp",
+        "  mLog.Apply(change, [this, version, aRespond]",
+        "  if (version % 2 == 0) {\n    aRespond(EmptyAnswer());\n    return;\n  }\n"
+        "  mLog.Apply(change, [this, version, aRespond]",
+    ),
+    Fault(
+        "reads are not confirmed",
+        "platform/controlapi.cpp",
+        "mLog.ConfirmRead([",
+        "const auto unconfirmed = [](const auto& aDone) { aDone(Control::ChangeOutcome()); };\n  unconfirmed([",
+    ),
+    Fault(
+        "routes are drawn from all services",
+        "src/libs/steering/choice.cpp",
+        " || described.mService != aInput.mService",
+        "",
+    ),
+]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--net", type=int, default=60, help="separates the addresses of runs side by side")
+    parser.add_argument("--only", default="", help="part of the name of one fault")
+    arguments = parser.parse_args()
+    scratch = tempfile.mkdtemp(prefix="seededfaults-")
+    source, build = os.path.join(scratch, "source"), os.path.join(scratch, "build")
+    missed = []
+    try:
+        subprocess.run(["git", "clone", "--quiet", ROOT, source], check=True)
+        configure = ["cmake", "-S", source, "-B", build, "-G", "Ninja", "-DLW_TESTS=OFF"]
+        subprocess.run(configure, check=True, stdout=subprocess.DEVNULL)
+        for fault in FAULTS:
+            if arguments.only in fault.name and not is_found(fault, source, build, arguments):
+                missed.append(fault.name)
+    finally:
+        shutil.rmtree(scratch)
+    return 1 if missed else 0
+
+
+def is_found(fault, source, build, arguments):
+    path = os.path.join(source, fault.path)
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    if fault.before not in text:
+        sys.exit(f"{fault.path} no longer holds the text that '{fault.name}' replaces")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text.replace(fault.before, fault.after, 1))
+    subprocess.run(["ninja", "-C", build, *PROGRAMS], check=True, stdout=subprocess.DEVNULL)
+    soak = os.path.join(ROOT, "tests", "soak", "soak.py")
+    command = [sys.executable, soak, "--bin", os.path.join(build, "bin")]
+    command += ["--seed", str(arguments.seed), "--net", str(arguments.net)]
+    result = subprocess.run(command, capture_output=True, text=True, check=False)
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text)
+    lines = [line.strip() for line in result.stdout.splitlines() if ": " in line]
+    print(f"{'found' if result.returncode else 'MISSED'}: {fault.name}: {lines[1:2] or lines}", flush=True)
+    return result.returncode != 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -440,7 +440,7 @@
         before = self.acknowledged
         await asyncio.sleep(4.0)
         if self.acknowledged == before:
-            self.violation("no configuration is acknowledged after the faults")
+            self.violation(f"no configuration is acknowledged after the faults, last error {call.last_error}")
         reads = [await self.read_config() for _ in range(10)]
         if not any(reads):
             self.violation("the configuration can't be read after the faults")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -70,7 +70,8 @@
     for _ in range(3):
         try:
             result = await asyncio.wait_for(exchange(host, method, path, body, lose_answer), timeout)
-        except (OSError, asyncio.TimeoutError, ValueError, IndexError):
+        except (OSError, asyncio.TimeoutError, ValueError, IndexError) as error:
+            call.last_error = f"{host}{path}: {error!r}"
             return None
         if result is None or result[0] != 307:
             return result[:2] if result else None
@@ -79,6 +80,9 @@
     return None
 
 
+call.last_error = "none"
+
+
 async def exchange(host, method, path, body, lose_answer):
     name, port = host.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(name, int(port))
