--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -2,7 +2,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "config/validation.h"
-#include "control/logstatus.h"
 
 #include <glog/logging.h>
 
@@ -114,44 +113,12 @@
   return Base::RuntimeClock::now() - turn < aLimit;
 }
 
-std::vector<Base::InstanceId>
-LogDriver::Members() const
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  return mMembers;
-}
-
 absl::Status
 LogDriver::ConfirmRead(Base::Duration aLimit)
 {
   return mQueue.Submit("", aLimit).mStatus;
 }
 
-bool
-LogDriver::IsConnected() const
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  return mStatus.connected();
-}
-
-std::string
-LogDriver::LeaderAddress() const
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  if (!mStatus.connected() || mLeader == Base::InstanceId()) {
-    return "";
-  }
-  const std::optional<ControlAddress> address = AddressOf(mSettings, mLeader);
-  return address.has_value() ? Base::ToString(address->mOperatorAddress) : "";
-}
-
-void
-LogDriver::FillStatus(lw::operator_api::ControlStatus& aStatus) const
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  aStatus = mStatus;
-}
-
 Replication::ReplicaPorts
 LogDriver::MakePorts()
 {
@@ -384,23 +351,4 @@
   }
 }
 
-void
-LogDriver::PublishStatus()
-{
-  const Consensus::Context context = Replication::ContextOf(mReplica, Base::RuntimeClock::now());
-  lw::operator_api::ControlStatus status = MakeStatus(mReplica.mNode, context, mFailure);
-  if (status.leads() != mStatus.leads()) {
-    LOG(INFO) << "[control] " << (status.leads() ? "Leads" : "Stopped leading") << ", term "
-              << status.term() << ".";
-  }
-  const std::lock_guard<std::mutex> lock(mMutex);
-  mStatus = std::move(status);
-  mLeader = mReplica.mNode.mLeader;
-  mMembers.clear();
-  for (const lw::consensus::Replica& replica :
-       Consensus::CurrentMembership(mReplica.mNode).replicas()) {
-    mMembers.emplace_back(replica.instance());
-  }
-}
-
 } // namespace Control
--- a/src/libs/control/logstatus.cpp
+++ b/src/libs/control/logstatus.cpp
@@ -1,5 +1,9 @@
 #include "control/logstatus.h"
 
+#include "control/logdriver.h"
+
+#include <glog/logging.h>
+
 #include <string>
 
 namespace Control {
@@ -30,4 +34,55 @@
   return status;
 }
 
+std::vector<Base::InstanceId>
+LogDriver::Members() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mMembers;
+}
+
+bool
+LogDriver::IsConnected() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mStatus.connected();
+}
+
+std::string
+LogDriver::LeaderAddress() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (!mStatus.connected() || mLeader == Base::InstanceId()) {
+    return "";
+  }
+  const std::optional<ControlAddress> address = AddressOf(mSettings, mLeader);
+  return address.has_value() ? Base::ToString(address->mOperatorAddress) : "";
+}
+
+void
+LogDriver::FillStatus(lw::operator_api::ControlStatus& aStatus) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aStatus = mStatus;
+}
+
+void
+LogDriver::PublishStatus()
+{
+  const Consensus::Context context = Replication::ContextOf(mReplica, Base::RuntimeClock::now());
+  lw::operator_api::ControlStatus status = MakeStatus(mReplica.mNode, context, mFailure);
+  if (status.leads() != mStatus.leads()) {
+    LOG(INFO) << "[control] " << (status.leads() ? "Leads" : "Stopped leading") << ", term "
+              << status.term() << ".";
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mStatus = std::move(status);
+  mLeader = mReplica.mNode.mLeader;
+  mMembers.clear();
+  for (const lw::consensus::Replica& replica :
+       Consensus::CurrentMembership(mReplica.mNode).replicas()) {
+    mMembers.emplace_back(replica.instance());
+  }
+}
+
 } // namespace Control
