--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -10,6 +10,7 @@
 PACKET_PORT = 8172
 DRAIN_SECONDS = 3.0
 CALM_SECONDS = 4.0
+UNKNOWN_TAG_PART = 0.05
 
 
 class Proxy:
@@ -219,9 +220,9 @@
             self.world.violation("a caller got a changed packet")
         flow["packets"].put_nowait(packet)
 
-    def send(self, port, service, flags, tag=0, ack=0, data=b""):
+    def send(self, port, service, flags, tag=0, ack=0, data=b"", entry=None):
         packet = Packet(tag, 7, ack, address(self.ip), service[1], port, service[0], flags, data)
-        entry = self.world.route((port, service))
+        entry = entry or self.world.route((port, service))
         if entry is not None:
             self.transport.sendto(packet.encode(), (entry.ip, PACKET_PORT))
 
@@ -241,6 +242,10 @@
                 outcome = await self.ask(port, service, flow, handshake, data, owner)
                 if outcome != "served":
                     return outcome
+                if random.random() < UNKNOWN_TAG_PART:
+                    # Like a tag of an upstream that the instance has not heard of: no reason for a reset.
+                    other = random.choice(self.world.entries)
+                    self.send(port, service, ACK, random.getrandbits(32), handshake.seq + 1, data, other)
             self.send(port, service, ACK | FIN, handshake.tag, handshake.seq + 1)
             return "served"
         finally:
