--- /dev/null
+++ b/tests/auto/steering/fleetmodelflows.cpp
@@ -0,0 +1,224 @@
+#include "fleetmodel.h"
+
+#include "fleetmodelconstants.h"
+
+#include <algorithm>
+#include <chrono>
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kPoll{ 375 };
+/// Until a cut or a restart is forgotten.
+constexpr milliseconds kStability{ 4000 };
+
+} // namespace
+
+void
+FleetModel::RestartEntry(Entry& aEntry)
+{
+  aEntry = Entry();
+  aEntry.mState.mRandom.mState = Base::NextRandom(mRandom);
+  aEntry.mTroubledAt = mNow;
+}
+
+void
+FleetModel::DriveEntries()
+{
+  while (!mReplies.empty() && mReplies.begin()->first <= mNow) {
+    const Reply reply = mReplies.begin()->second;
+    mReplies.erase(mReplies.begin());
+    Deliver(reply);
+  }
+  for (size_t i = 0; i < mEntries.size(); ++i) {
+    Entry& entry = mEntries[i];
+    if (Happens(300)) {
+      RestartEntry(entry);
+      mReplies.clear();
+    }
+    if (Happens(400)) {
+      entry.mCutUntil = mNow + Delay(6000);
+    }
+    if (mNow < entry.mCutUntil) {
+      entry.mTroubledAt = mNow;
+    } else if (mNow >= entry.mNextPoll) {
+      entry.mNextPoll = mNow + kPoll;
+      Poll(i);
+    }
+    Steering::Expire(entry.mState, mNow);
+  }
+}
+
+void
+FleetModel::Poll(size_t aEntry)
+{
+  const Entry& entry = mEntries[aEntry];
+  for (size_t c = 0; c < kControls; ++c) {
+    Control& control = mControls[c];
+    if (!control.mRunning || Happens(kMillion / 50)) {
+      continue;
+    }
+    lw::fleet::Poll poll;
+    const auto position = entry.mPositions.find(static_cast<uint32_t>(c));
+    if (position != entry.mPositions.end()) {
+      poll.set_directory_epoch(position->second.first);
+      poll.set_directory_revision(position->second.second);
+    }
+    poll.set_declared_version(entry.mState.mRoutes.mVersion);
+    Reply reply{ c, aEntry, {} };
+    reply.mReply.set_connected(true);
+    if (mFault == ModelFault::PositionKeptAfterRestart) {
+      poll.set_directory_epoch(control.mTable.mEpoch);
+    }
+    Directory::FillReply(control.mTable, poll, mNow, reply.mReply);
+    const bool older = mFault == ModelFault::OlderRoutesCount;
+    if (older || Directory::NewestVersion(control.mRoutes) > poll.declared_version()) {
+      *reply.mReply.mutable_routes() =
+        Directory::UpdateFrom(control.mRoutes, older ? 0 : poll.declared_version());
+    }
+    mReplies.emplace(mNow + Delay(50), std::move(reply));
+  }
+}
+
+void
+FleetModel::Deliver(const Reply& aReply)
+{
+  Entry& entry = mEntries[aReply.mEntry];
+  if (mNow < entry.mCutUntil) {
+    return;
+  }
+  const auto control = static_cast<uint32_t>(aReply.mControl);
+  entry.mPositions[control] = { aReply.mReply.directory_epoch(),
+                                aReply.mReply.directory_revision() };
+  if (mFault == ModelFault::OlderRoutesCount) {
+    entry.mState.mRoutes.mVersion = 0;
+  }
+  if (mFault == ModelFault::LateAnnouncementsCount) {
+    for (const lw::fleet::Upstream& upstream : aReply.mReply.upstreams()) {
+      const Directory::UpstreamId id(upstream.id());
+      entry.mState.mDirectory.mByTag.erase(Directory::TagOf(id, upstream.started_at_ms()));
+      entry.mState.mDirectory.mNewest.erase(id);
+    }
+  }
+  Steering::TakeReply(entry.mState, Base::InstanceId(control + 1), aReply.mReply, mNow);
+  const uint64_t version = entry.mState.mRoutes.mVersion;
+  if (version < entry.mHighestVersion) {
+    Fail("an entry instance went back to an older configuration");
+  }
+  entry.mHighestVersion = version;
+}
+
+bool
+FleetModel::IsInTouch(const Entry& aEntry) const
+{
+  return mNow - aEntry.mTroubledAt > kStability && mNow - mCoreTroubledAt > kStability;
+}
+
+int
+FleetModel::ReceiverOf(const Steering::Decision& aDecision) const
+{
+  for (size_t i = 0; i < mStarts.size(); ++i) {
+    const Directory::Upstream& said = mStarts[i].mSaid.mUpstream;
+    if (mStarts[i].mAlive && said.mAddress == aDecision.mAddress &&
+        said.mId == aDecision.mUpstream) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+void
+FleetModel::CheckOpening(const Entry& aEntry, const Steering::Decision& aDecision)
+{
+  const uint64_t version = aEntry.mState.mRoutes.mVersion;
+  for (size_t i = mLog.size(); IsInTouch(aEntry) && i-- > 0;) {
+    const bool known = mNow - mCommittedAt[i] > kApplyBound;
+    if (known && version < mLog[i].declaration().version()) {
+      Fail("an accepted configuration is not in force in time");
+    }
+  }
+  const int receiver = ReceiverOf(aDecision);
+  if (receiver < 0) {
+    return;
+  }
+  const Start& start = mStarts[static_cast<size_t>(receiver)];
+  const Steering::Route& route = aEntry.mState.mRoutes.mRoutes.at(kRoute);
+  if (start.mSaid.mUpstream.mService != route.mServices.front().mService) {
+    Fail("a new flow reached a service that its route does not name");
+  }
+  const bool departed =
+    start.mAcknowledgedAt != Base::TimePoint() && mNow - start.mAcknowledgedAt > kDrainBound;
+  if (departed && IsInTouch(aEntry)) {
+    Fail("a new flow reached an upstream whose departure was acknowledged");
+  }
+}
+
+void
+FleetModel::OpenFlow()
+{
+  Entry& entry = mEntries[Base::NextBelow(mRandom, kEntries)];
+  Steering::Packet packet;
+  packet.mFlow = { { 0x64400001, mNextPort++ }, kRoute };
+  packet.mKind = Steering::PacketKind::Opening;
+  packet.mSequence = mNextPort;
+  const Steering::Decision decision = Steering::Steer(entry.mState, mSettings, packet, mNow);
+  if (decision.mAction != Steering::Action::Forward) {
+    return;
+  }
+  CheckOpening(entry, decision);
+  const int receiver = ReceiverOf(decision);
+  if (receiver >= 0) {
+    ++mOpened;
+    const auto start = static_cast<size_t>(receiver);
+    const Directory::Upstream& said = mStarts[start].mSaid.mUpstream;
+    const bool earlier = decision.mTag != Directory::TagOf(said.mId, said.mStartedAtMs);
+    const bool outOfTouch = earlier && !IsInTouch(entry);
+    mFlows.push_back(
+      { packet.mFlow, decision.mTag, start, mNow + Delay(20000), earlier, outOfTouch });
+  }
+}
+
+void
+FleetModel::SendOn(const Flow& aFlow)
+{
+  ++mPackets;
+  Entry& entry = mEntries[Base::NextBelow(mRandom, kEntries)];
+  Steering::Packet packet;
+  packet.mFlow = aFlow.mKey;
+  packet.mKind = Steering::PacketKind::MidFlow;
+  packet.mTag = aFlow.mTag;
+  packet.mCarriesData = true;
+  const Steering::Decision decision = Steering::Steer(entry.mState, mSettings, packet, mNow);
+  const Start& start = mStarts[aFlow.mStart];
+  const bool unknown = decision.mReason == Steering::Reason::UnknownTag;
+  const bool reset = decision.mAction == Steering::Action::Reset ||
+                     (unknown && mFault == ModelFault::ResetUnknownTags);
+  if (reset && start.mAlive && !aFlow.mOpenedOutOfTouch) {
+    Fail("a flow of a live upstream was reset");
+  }
+  if (decision.mAction == Steering::Action::Forward) {
+    const int receiver = ReceiverOf(decision);
+    if (start.mAlive && receiver >= 0 && static_cast<size_t>(receiver) != aFlow.mStart) {
+      Fail("a packet reached another upstream than its flow");
+    }
+  } else if (start.mAlive && !aFlow.mHasEarlierTag && IsInTouch(entry) &&
+             mNow - start.mStartedAt > kStability) {
+    Fail("an instance in touch does not know the upstream of a flow");
+  }
+}
+
+void
+FleetModel::DriveFlows()
+{
+  if (Happens(kMillion / 5)) {
+    OpenFlow();
+  }
+  mFlows.erase(std::remove_if(mFlows.begin(),
+                              mFlows.end(),
+                              [this](const Flow& aFlow) { return mNow > aFlow.mEndsAt; }),
+               mFlows.end());
+  for (int i = 0; i < 2 && !mFlows.empty(); ++i) {
+    SendOn(mFlows[Base::NextBelow(mRandom, mFlows.size())]);
+  }
+}
