Stop counting flows as load that end unseen

Cause: the end of a flow is not seen here if its upstream resets it or its caller gives up, so such flows counted as load for 2.5 s.

--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -13,38 +13,18 @@
 /// An opening packet counts as unanswered if the caller's next packet does not arrive within this
 /// time. A round trip through a remote availability zone takes only a few milliseconds.
 constexpr milliseconds kAnswerTimeout{ 80 };
-/// A flow without packets for this long no longer counts as load, but its record is kept.
-constexpr milliseconds kIdleFlowTimeout{ 2500 };
 constexpr seconds kFlowRecordLifetime{ 60 };
 /// Time for which the record of a closed flow is kept, for retransmitted packets.
 constexpr seconds kClosedFlowLifetime{ 3 };
 
-void
-AddToLoad(State& aState, Flow& aFlow)
-{
-  if (!aFlow.mCountedInLoad) {
-    aFlow.mCountedInLoad = true;
-    ++aState.mLoads.mByTag[aFlow.mTag].mOwnFlows;
-  }
-}
-
-void
-RemoveFromLoad(State& aState, Flow& aFlow)
-{
-  if (aFlow.mCountedInLoad) {
-    aFlow.mCountedInLoad = false;
-    Load& load = aState.mLoads.mByTag[aFlow.mTag];
-    load.mOwnFlows -= std::min(load.mOwnFlows, 1U);
-  }
-}
-
 /// Records the missing answer to the latest opening packet, once, against the upstream and, if it
-/// is remote, against its availability zone.
+/// is remote, against its availability zone. The flow counts as load again when it is confirmed.
 void
 RecordUnansweredOpening(State& aState, Flow& aFlow, Base::TimePoint aNow)
 {
   if (!aFlow.mUnansweredRecorded) {
     aFlow.mUnansweredRecorded = true;
+    RemoveFromLoad(aState.mLoads, aFlow);
     RecordUnanswered(aState.mLoads.mByTag[aFlow.mTag], aFlow.mForwardedAt, aNow);
     if (!aFlow.mRemoteZone.empty()) {
       RecordUnanswered(aState.mLoads.mByRemoteZone[aFlow.mRemoteZone], aFlow.mForwardedAt, aNow);
@@ -99,7 +79,7 @@
     const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
     return Refuse(complete ? Action::Reset : Action::Drop, Reason::NoUpstream);
   }
-  RemoveFromLoad(aState, aFlow);
+  RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mTag = choice.mUpstream->mTag;
   if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
       aFlow.mTriedUpstreams.end()) {
@@ -109,7 +89,7 @@
   aFlow.mUnansweredRecorded = false;
   const std::string& zone = choice.mUpstream->mUpstream.mAvailabilityZone;
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
-  AddToLoad(aState, aFlow);
+  AddToLoad(aState.mLoads, aFlow);
   Decision decision = ForwardTo(aState, *choice.mUpstream, aReason, aNow);
   decision.mCandidates = choice.mCandidates;
   decision.mOutstanding = choice.mOutstanding;
@@ -137,7 +117,7 @@
       known->second.mLastPacketAt = aNow;
       return SteerRepeatedOpening(aState, aSettings, known->second, aNow);
     }
-    RemoveFromLoad(aState, known->second);
+    RemoveFromLoad(aState.mLoads, known->second);
     aState.mFlows.mFlows.erase(known);
   }
   if (aState.mRoutes.mVersion == 0) {
@@ -159,7 +139,7 @@
     if (aState.mFlows.mFlows.size() < kMaxFlows) {
       aState.mFlows.mFlows.emplace(aPacket.mFlow, std::move(flow));
     } else {
-      RemoveFromLoad(aState, flow);
+      RemoveFromLoad(aState.mLoads, flow);
     }
   }
   return decision;
@@ -184,19 +164,22 @@
     flow.mConfirmed = true;
     aHandshake = aNow - flow.mOpenedAt;
     if (flow.mTag != aPacket.mTag) {
-      RemoveFromLoad(aState, flow);
+      RemoveFromLoad(aState.mLoads, flow);
       flow.mTag = aPacket.mTag;
     }
     RecordAnswer(aState.mLoads.mByTag[flow.mTag], aNow);
     if (!flow.mRemoteZone.empty()) {
       RecordAnswer(aState.mLoads.mByRemoteZone[flow.mRemoteZone], aNow);
     }
-    AddToLoad(aState, flow);
+    AddToLoad(aState.mLoads, flow);
+  }
+  if (aPacket.mKind == PacketKind::Closing && flow.mCountedInLoad) {
+    RecordDuration(aState.mDurations, flow, aNow);
   }
   if (aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort) {
-    RemoveFromLoad(aState, flow);
+    RemoveFromLoad(aState.mLoads, flow);
   } else if (aPacket.mCarriesData) {
-    AddToLoad(aState, flow);
+    AddToLoad(aState.mLoads, flow);
   }
   // If a second upstream answers a retransmitted opening packet late, the caller's packets carry
   // the second upstream's tag although the flow is open at the first one.
@@ -325,8 +308,8 @@
   for (auto item = flows.begin(); item != flows.end();) {
     Flow& flow = item->second;
     const Base::Duration silence = aNow - flow.mLastPacketAt;
-    if (silence > kIdleFlowTimeout) {
-      RemoveFromLoad(aState, flow);
+    if (silence > SilenceLimit(aState.mDurations, flow.mService)) {
+      RemoveFromLoad(aState.mLoads, flow);
     }
     if (!flow.mConfirmed && aNow - flow.mForwardedAt > kAnswerTimeout) {
       RecordUnansweredOpening(aState, flow, aNow);
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
 #include "steering/choice.h"
+#include "steering/flowload.h"
 #include "steering/flowtable.h"
 #include "steering/loadreports.h"
 #include "steering/loadtable.h"
@@ -99,6 +100,7 @@
   RouteTable mRoutes;
   Directory::MergedDirectory mDirectory;
   FlowTable mFlows;
+  FlowDurations mDurations;
   LoadTable mLoads;
   PeerReports mReports;
   Base::RandomSource mRandom;
