--- a/tests/auto/steering/tst_flowload.cpp
+++ b/tests/auto/steering/tst_flowload.cpp
@@ -8,7 +8,9 @@
 using std::chrono::milliseconds;
 using Steering::PacketKind;
 
-TEST_GROUP(FlowLoad), SteeringFixture
+namespace {
+
+struct FlowLoadFixture : SteeringFixture
 {
   /// Opens flows and closes each after aDuration.
   void Serve(uint16_t aFirstPort, int aCount, milliseconds aDuration)
@@ -27,6 +29,10 @@
   }
 };
 
+} // namespace
+
+TEST_GROUP(FlowLoad), FlowLoadFixture{};
+
 // Guards against an overload of the upstreams that join late after a common restart: flows that an
 // upstream reset, or whose callers gave up, made the others look busy for seconds.
 TEST(FlowLoad, AbandonedFlowsDoNotDivertNewOnes)
