Elect a leader sooner after a common restart

Cause: a replica that had just started asked for pre-votes every 150 to 300 ms, so two rounds passed before the second replica heard one. Pre-votes come every 50 to 100 ms now, and a granted one postpones the own one, so that the votes are not split.

--- a/src/libs/consensus/election.cpp
+++ b/src/libs/consensus/election.cpp
@@ -2,6 +2,8 @@
 
 #include "consensus/roles.h"
 
+#include <algorithm>
+
 namespace Consensus::Internal {
 
 namespace {
@@ -123,6 +125,12 @@
     aNode.mHardState.mVotedFor = candidate;
     aOutput.mHardState = aNode.mHardState;
     ResetElectionDeadline(aNode, aContext);
+  } else if (granted && aNode.mLeader == Base::InstanceId()) {
+    // Lets the candidate win before this replica asks for votes itself, so that the votes are not
+    // split.
+    const Base::TimePoint deadline = aNode.mElectionDeadline;
+    SetPreVoteDeadline(aNode, aContext);
+    aNode.mElectionDeadline = std::max(aNode.mElectionDeadline, deadline);
   }
   Message message = MakeReply(aNode, aContext, aMessage);
   lw::consensus::VoteReply* reply = message.mutable_vote_reply();
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -40,7 +40,7 @@
   /// Without a known leader, a pre-vote is repeated after a random time of one to two intervals.
   /// The interval can be short because a pre-vote changes no term. After a restart of the whole
   /// cluster, the peers are often not running yet at the first pre-vote.
-  Base::Duration mPreVoteInterval = std::chrono::milliseconds(150);
+  Base::Duration mPreVoteInterval = std::chrono::milliseconds(50);
   uint64_t mSnapshotInterval = 1000;
   /// Number of entries kept before a snapshot, so that an instance that was unreachable briefly can
   /// catch up without a snapshot.
--- a/tests/auto/consensus/tst_cluster.cpp
+++ b/tests/auto/consensus/tst_cluster.cpp
@@ -215,3 +215,34 @@
   cluster.Start(full);
   RequireConverged(cluster);
 }
+
+// Guards against a cluster that is without a leader for long after a loss of power of all
+// instances, although they start at about the same time and nothing is lost.
+TEST(Cluster, LeadsSoonAfterACommonRestart)
+{
+  constexpr uint64_t kSeeds = 100;
+  constexpr uint64_t kStartSpreadMs = 100;
+  // Two intervals between pre-votes, a vote and the syncs.
+  constexpr milliseconds kBound{ 250 };
+  // A split vote costs an election timeout. It must be rare.
+  constexpr int kMaxSlowElections = 5;
+  int slow = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FakeCluster cluster(seed, 3);
+    FormCluster(cluster, 3);
+    RequireAcknowledged(cluster, 5);
+    Base::RandomSource random{ seed };
+    for (uint32_t instance = 1; instance <= 3; ++instance) {
+      cluster.Crash(instance);
+    }
+    for (uint32_t instance = 1; instance <= 3; ++instance) {
+      cluster.Run(milliseconds(Base::NextBelow(random, kStartSpreadMs / 3)));
+      cluster.Start(instance);
+    }
+    const auto leads = [&cluster] { return cluster.Leader() != 0; };
+    slow += cluster.RunUntil(leads, kBound) ? 0 : 1;
+    CHECK_TRUE(cluster.RunUntil(leads, kElectionBound));
+    STRCMP_EQUAL("", cluster.Violation().c_str());
+  }
+  CHECK_TRUE_TEXT(slow <= kMaxSlowElections, std::to_string(slow).c_str());
+}
--- a/tests/auto/consensus/tst_voting.cpp
+++ b/tests/auto/consensus/tst_voting.cpp
@@ -129,6 +129,22 @@
   CHECK_TRUE(IsGranted(Vote(kOther, 5, 9, 4)));
 }
 
+// Guards against split votes after a common restart, when all replicas ask at about the same time.
+TEST(Voting, GrantedPreVotePostponesTheOwnOne)
+{
+  mNow = mNode.mElectionDeadline;
+  Consensus::Message message = From(kOther, 3);
+  message.mutable_vote_request()->set_pre_vote(true);
+  message.mutable_vote_request()->set_proposed_term(4);
+  message.mutable_vote_request()->set_last_index(2);
+  message.mutable_vote_request()->set_last_term(2);
+  CHECK_TRUE(IsGranted(Consensus::Receive(mNode, Context(), message)));
+  mNow += mSettings.mPreVoteInterval - milliseconds(1);
+  CHECK_TRUE(Consensus::Tick(mNode, Context()).mMessages.empty());
+  mNow += mSettings.mPreVoteInterval + milliseconds(1);
+  LONGS_EQUAL(2, Consensus::Tick(mNode, Context()).mMessages.size());
+}
+
 // Guards against electing a leader that lacks committed entries.
 TEST(Voting, RefusesCandidatesWhoseLogIsBehind)
 {
