--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -66,11 +66,21 @@
     return absl::UnavailableError(
       absl::StrCat("cannot listen on ", Base::ToString(mSettings.mPeerListen), ": ", error.what()));
   }
+  ConnectToMembers();
   PublishStatus();
   mThread = std::thread([this] { Run(); });
   return absl::OkStatus();
 }
 
+void
+LogDriver::ConnectToMembers()
+{
+  for (const lw::consensus::Replica& member :
+       Consensus::CurrentMembership(mReplica.mNode).replicas()) {
+    mPeers->Connect(Base::InstanceId(member.instance()));
+  }
+}
+
 void
 LogDriver::Stop()
 {
--- a/src/libs/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -75,6 +75,9 @@
   void RecoverReplica();
   bool IsRetirementNotice(const Consensus::Message& aMessage) const;
   void Rejoin();
+  /// Opens the connections to the members before the first election. Otherwise its first vote
+  /// requests would be dropped, and all control instances would start an election later.
+  void ConnectToMembers();
   void Run();
   void WaitForEvents();
   void ReceiveMessages();
--- a/src/libs/control/peersockets.cpp
+++ b/src/libs/control/peersockets.cpp
@@ -72,6 +72,12 @@
   return &mOutgoing.emplace(aInstance, std::move(socket)).first->second;
 }
 
+void
+PeerSockets::Connect(Base::InstanceId aInstance)
+{
+  OutgoingSocket(aInstance.mValue);
+}
+
 void
 PeerSockets::Send(const lw::consensus::Message& aMessage)
 {
--- a/src/libs/control/peersockets.h
+++ b/src/libs/control/peersockets.h
@@ -18,6 +18,10 @@
 public:
   PeerSockets(zmq::context_t& aContext, const ControlSettings& aSettings);
 
+  /// Connects to an instance in the background, so that a later message is not dropped while its
+  /// connection is being set up. Does nothing if a connection or an attempt exists.
+  void Connect(Base::InstanceId aInstance);
+
   void Send(const lw::consensus::Message& aMessage);
   /// \return the next received message, or std::nullopt.
   std::optional<lw::consensus::Message> Receive();
