Poll control instances often until they are connected to the log

Cause: after a common restart each control instance knows the upstreams that were stored by it. An entry instance polled all of them only every 400 ms as soon as the first one had brought the configuration, so for 0.4 s all new flows went to 4 of 11 upstreams (up to 105 flows at one).

A control instance that was found or regained is polled every 50 ms until it is connected, for 2 s at most. tst_poller fails without it; it uses free ports now, because two runs on one machine could not bind.

--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kRouteFetchTimeout{ 600 };
 /// Time for the packet thread to apply the received routes, so that they are not fetched again.
 constexpr milliseconds kRouteFetchPause{ 20 };
+/// A control instance that was found or regained is expected to be connected to the log by then.
+constexpr std::chrono::seconds kStartTime{ 2 };
 /// The kernel retransmits a SYN only after one second. Shorter attempts reconnect sooner after an
 /// attempt to reach a machine that was powered off.
 constexpr int kConnectTimeoutMs = 250;
@@ -71,8 +73,8 @@
   while (!mStopping) {
     const Base::TimePoint now = Base::RuntimeClock::now();
     UpdateTargets(now);
-    SendPolls(now);
-    WaitForReplies(now + (mDeclaredVersion == 0 ? mSettings.mStartInterval : mSettings.mInterval));
+    SendDuePolls(now);
+    WaitForReplies(now);
   }
   mTargets.clear();
 }
@@ -94,6 +96,7 @@
     }
     const auto [item, added] = mTargets.try_emplace(control);
     if (added) {
+      item->second.mStartingUntil = aNow + kStartTime;
       OpenSocket(control, item->second, aNow);
     }
   }
@@ -129,19 +132,42 @@
   aTarget.mSocket = std::move(socket);
   aTarget.mOpenedAt = aNow;
   aTarget.mPendingSince.reset();
+  aTarget.mNextPoll = aNow;
 }
 
 void
-Poller::SendPolls(Base::TimePoint aNow)
+Poller::SendDuePolls(Base::TimePoint aNow)
 {
   for (auto& [control, target] : mTargets) {
     // A second poll before the reply would only transfer the same data again over a slow link.
-    if (!target.mPendingSince.has_value() || aNow - *target.mPendingSince >= kReplyTimeout) {
+    const bool due = target.mPendingSince.has_value()
+                       ? aNow - *target.mPendingSince >= kReplyTimeout
+                       : aNow >= target.mNextPoll;
+    if (due) {
       SendPoll(target, false, aNow);
     }
   }
 }
 
+Base::Duration
+Poller::PollInterval(const Target& aTarget, Base::TimePoint aNow) const
+{
+  const bool starting = !aTarget.mConnected && aNow < aTarget.mStartingUntil;
+  return mDeclaredVersion == 0 || starting ? mSettings.mStartInterval : mSettings.mInterval;
+}
+
+Base::TimePoint
+Poller::NextPoll(Base::TimePoint aLimit) const
+{
+  Base::TimePoint next = aLimit;
+  for (const auto& [control, target] : mTargets) {
+    if (!target.mPendingSince.has_value()) {
+      next = std::min(next, target.mNextPoll);
+    }
+  }
+  return next;
+}
+
 void
 Poller::SendPoll(Target& aTarget, bool aWantsRoutes, Base::TimePoint aNow)
 {
@@ -154,6 +180,7 @@
   poll.set_directory_epoch(aTarget.mEpoch);
   poll.set_directory_revision(aTarget.mRevision);
   poll.set_peers_hash(mPeersHash);
+  aTarget.mNextPoll = aNow + PollInterval(aTarget, aNow);
   // Without a connection, send() fails instead of queueing the poll. The next interval retries it.
   if (aTarget.mSocket.send(zmq::buffer(poll.SerializeAsString()), zmq::send_flags::dontwait)) {
     aTarget.mPendingSince = aNow;
@@ -184,11 +211,12 @@
 }
 
 void
-Poller::WaitForReplies(Base::TimePoint aUntil)
+Poller::WaitForReplies(Base::TimePoint aSince)
 {
   while (!mStopping) {
     const Base::TimePoint now = Base::RuntimeClock::now();
-    if (now >= aUntil) {
+    const Base::TimePoint until = NextPoll(aSince + mSettings.mInterval);
+    if (now >= until) {
       return;
     }
     std::vector<zmq::pollitem_t> items;
@@ -196,7 +224,7 @@
     for (auto& [control, target] : mTargets) {
       items.push_back({ target.mSocket.handle(), 0, ZMQ_POLLIN, 0 });
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(aUntil - now) + milliseconds(1);
+    const auto left = std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1);
     if (items.empty()) {
       std::this_thread::sleep_for(left);
       return;
@@ -226,6 +254,7 @@
     aTarget.mRevision = reply.directory_revision();
     aTarget.mLastReply = Base::RuntimeClock::now();
     aTarget.mPendingSince.reset();
+    aTarget.mConnected = reply.connected();
     aTarget.mDeclaredVersion = reply.declared_version();
     aTarget.mAvailabilityZone = reply.availability_zone();
     bool polled = false;
@@ -238,6 +267,9 @@
       SendPoll(aTarget, false, aTarget.mLastReply);
     }
     const bool regained = !std::exchange(aTarget.mResponding, true);
+    if (regained) {
+      aTarget.mStartingUntil = aTarget.mLastReply + kStartTime;
+    }
     if (reply.connected()) {
       mMembers.clear();
       for (const uint32_t member : reply.control_instances()) {
--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -27,7 +27,9 @@
   /// Port of the poll server at every control instance.
   uint16_t mPollPort = 0;
   Base::Duration mInterval = std::chrono::milliseconds(400);
-  /// Interval while no configuration is in force, so that a restarted instance is ready quickly.
+  /// Interval while no configuration is in force, and for a control instance that was found or
+  /// regained recently and is not connected to the log yet. After a common restart, each control
+  /// instance knows only some of the upstreams, so all of them must reply soon.
   Base::Duration mStartInterval = std::chrono::milliseconds(50);
 };
 
@@ -69,6 +71,11 @@
     uint64_t mRevision = 0;
     Base::TimePoint mLastReply;
     Base::TimePoint mOpenedAt;
+    Base::TimePoint mNextPoll;
+    /// End of the time in which the instance is expected to connect to the log.
+    Base::TimePoint mStartingUntil;
+    /// True if the latest reply says that the instance is connected to the log.
+    bool mConnected = false;
     /// When the poll was sent that has not been answered yet, if there is one.
     std::optional<Base::TimePoint> mPendingSince;
     uint64_t mDeclaredVersion = 0;
@@ -81,7 +88,11 @@
   void Run();
   void UpdateTargets(Base::TimePoint aNow);
   void OpenSocket(Base::InstanceId aControl, Target& aTarget, Base::TimePoint aNow);
-  void SendPolls(Base::TimePoint aNow);
+  void SendDuePolls(Base::TimePoint aNow);
+  /// \return the time until the next poll of the target after one that is sent now.
+  Base::Duration PollInterval(const Target& aTarget, Base::TimePoint aNow) const;
+  /// \return the earliest time at which a poll is due, or aLimit if that is earlier.
+  Base::TimePoint NextPoll(Base::TimePoint aLimit) const;
   void SendPoll(Target& aTarget, bool aWantsRoutes, Base::TimePoint aNow);
   /// Requests newer routes from the target if it has them, no other request is pending and no
   /// instance in the local availability zone can provide them instead.
@@ -89,7 +100,8 @@
   bool FetchRoutes(Target& aTarget, Base::TimePoint aNow);
   /// \return true if a control instance in the local availability zone has newer routes.
   bool HasLocalSource(Base::TimePoint aNow) const;
-  void WaitForReplies(Base::TimePoint aUntil);
+  /// Handles replies until a poll is due, at most one interval after aSince.
+  void WaitForReplies(Base::TimePoint aSince);
   void ReceiveFrom(Base::InstanceId aControl, Target& aTarget);
 
   const PollerSettings mSettings;
--- a/tests/auto/fleet/tst_poller.cpp
+++ b/tests/auto/fleet/tst_poller.cpp
@@ -1,6 +1,9 @@
 #include "fleet/poller.h"
 #include "fleet/pollserver.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -13,10 +16,19 @@
 
 namespace {
 
-constexpr uint16_t kPort = 28731;
 constexpr uint32_t kLoopback = 0x7f000001;
 constexpr seconds kWaitTimeout{ 30 };
 
+/// \return a loopback address with a free port, so that test runs do not disturb each other.
+Base::Endpoint
+FreeLoopbackEndpoint()
+{
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor acceptor(context,
+                                                { boost::asio::ip::address_v4(kLoopback), 0 });
+  return { kLoopback, acceptor.local_endpoint().port() };
+}
+
 } // namespace
 
 // A poller and a poll server over loopback.
@@ -63,10 +75,11 @@
     announcement.mUpstream.mStartedAtMs = 1;
     mService.Announce(announcement);
   }
-  Fleet::PollServer server(mService, { kLoopback, kPort });
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  Fleet::PollServer server(mService, listen);
   CHECK_TRUE(server.Start().ok());
   Fleet::PollerSettings settings;
-  settings.mPollPort = kPort;
+  settings.mPollPort = listen.mPort;
   // With one part per interval, the transfer would exceed kWaitTimeout.
   settings.mInterval = settings.mStartInterval = seconds(1);
   Fleet::Poller poller(settings,
@@ -81,11 +94,11 @@
 // polled again after it has recovered.
 TEST(Poller, LostAndRegainedControlInstancesAreReported)
 {
-  auto server = std::make_unique<Fleet::PollServer>(
-    mService, Base::Endpoint{ kLoopback, static_cast<uint16_t>(kPort + 1) });
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  auto server = std::make_unique<Fleet::PollServer>(mService, listen);
   CHECK_TRUE(server->Start().ok());
   Fleet::PollerSettings settings;
-  settings.mPollPort = kPort + 1;
+  settings.mPollPort = listen.mPort;
   settings.mInterval = settings.mStartInterval = std::chrono::milliseconds(50);
   Fleet::Poller poller(settings,
                        [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
@@ -95,9 +108,30 @@
   server.reset();
   CHECK_TRUE(WaitUntil([this] { return mLost > 0; }));
   const size_t before = mReplies;
-  server = std::make_unique<Fleet::PollServer>(
-    mService, Base::Endpoint{ kLoopback, static_cast<uint16_t>(kPort + 1) });
+  server = std::make_unique<Fleet::PollServer>(mService, listen);
   CHECK_TRUE(server->Start().ok());
   CHECK_TRUE(WaitUntil([this, before] { return mReplies > before; }));
   poller.Stop();
 }
+
+// Guards against new flows that go to a few upstreams after a common restart: a control instance
+// that connects to the log after the others must tell its upstreams soon, although a configuration
+// is in force already.
+TEST(Poller, UnconnectedControlInstanceIsPolledOften)
+{
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  Fleet::PollServer server(mService, listen);
+  CHECK_TRUE(server.Start().ok());
+  Fleet::PollerSettings settings;
+  settings.mPollPort = listen.mPort;
+  settings.mInterval = seconds(10);
+  settings.mStartInterval = std::chrono::milliseconds(20);
+  Fleet::Poller poller(settings,
+                       [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
+  poller.SetSeeds({ Base::InstanceId(kLoopback) });
+  poller.SetDeclaredVersion(1);
+  poller.Start();
+  constexpr size_t kReplies = 10;
+  CHECK_TRUE(WaitUntil([this] { return mReplies >= kReplies; }));
+  poller.Stop();
+}
