Hold opening packets while upstreams have no room

Cause: after a common restart the callers' copies and repeats arrive at once. Every entry instance sent all of them on, the queues of the upstreams filled (15 flows for 3 slots), and requests that were opened later waited behind those that had missed their objective already, or were shed.

The upstreams of an availability zone take as many flows as they have slots, as far as the load reports tell, and each instance may exceed that up to its share (3 flows for each slot). Other opening packets are held: urgent ones and those that can meet their objective go first, the oldest before the others. A flow whose turn would come after its caller has ended the attempt is reset at once. Routes carry their objective and priority to the entry instances.

Tests that open many flows use upstreams with more slots now; their bounds are unchanged.

--- a/src/libs/directory/routehistory.cpp
+++ b/src/libs/directory/routehistory.cpp
@@ -33,6 +33,8 @@
   route.set_address(aRoute.address());
   route.set_port(aRoute.port());
   *route.mutable_services() = aRoute.services();
+  route.set_latency_objective_ms(aRoute.latency_objective_ms());
+  route.set_priority(aRoute.priority());
   return route;
 }
 
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace Fleet {
 
@@ -14,6 +15,8 @@
 using asio::ip::udp;
 
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
+/// Short against the time that a request takes, so that slots don't idle while packets are held.
+constexpr std::chrono::milliseconds kReleaseInterval{ 10 };
 /// Limits the load reports that are handled at once, so that packets are not delayed.
 constexpr int kMaxReportsPerWakeup = 32;
 constexpr size_t kMaxReportBytes = 8192;
@@ -50,6 +53,7 @@
   , mReportSocket(aContext)
   , mTimer(aContext)
   , mReportTimer(aContext)
+  , mReleaseTimer(aContext)
 {
   mState.mRandom.mState = aSettings.mSeed;
   mIncarnation = Base::NextRandom(mState.mRandom);
@@ -90,6 +94,7 @@
   mPoller.Stop();
   mTimer.cancel();
   mReportTimer.cancel();
+  mReleaseTimer.cancel();
   boost::system::error_code ignored; // An error has no effect, because the process is ending.
   mReportSocket.close(ignored);
 }
@@ -99,22 +104,69 @@
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
   const Steering::Decision decision = Steering::Steer(mState, mSettings.mSteering, aPacket, now);
-  mDecisionCounters[static_cast<size_t>(decision.mReason)]->Add();
-  if (decision.mHandshake.has_value()) {
-    mHandshakeHistogram.Observe(*decision.mHandshake);
-  }
+  CountDecision(decision);
   if (decision.mReason != Steering::Reason::Tagged) {
-    LogDecision(aPacket, decision);
+    LogDecision(aPacket.mFlow, aPacket.mTag, decision);
+  }
+  if (decision.mAction == Steering::Action::Hold) {
+    WaitForRelease();
   }
   return decision;
 }
 
 void
-EntryNode::LogDecision(const Steering::Packet& aPacket, const Steering::Decision& aDecision)
+EntryNode::CountDecision(const Steering::Decision& aDecision)
+{
+  mDecisionCounters[static_cast<size_t>(aDecision.mReason)]->Add();
+  if (aDecision.mHandshake.has_value()) {
+    mHandshakeHistogram.Observe(*aDecision.mHandshake);
+  }
+}
+
+void
+EntryNode::SetReleaseHandler(std::function<void(const Steering::ReleasedOpening&)> aHandler)
+{
+  mReleaseHandler = std::move(aHandler);
+}
+
+void
+EntryNode::WaitForRelease()
+{
+  if (std::exchange(mReleaseScheduled, true)) {
+    return;
+  }
+  mReleaseTimer.expires_after(kReleaseInterval);
+  mReleaseTimer.async_wait([this](boost::system::error_code aError) {
+    mReleaseScheduled = false;
+    if (!aError) {
+      ReleaseOpenings();
+    }
+  });
+}
+
+void
+EntryNode::ReleaseOpenings()
+{
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  for (const Steering::ReleasedOpening& released :
+       Steering::ReleaseOpenings(mState, mSettings.mSteering, now)) {
+    CountDecision(released.mDecision);
+    LogDecision(released.mFlow, Directory::RouteTag(), released.mDecision);
+    mReleaseHandler(released);
+  }
+  if (Steering::HasHeldOpenings(mState)) {
+    WaitForRelease();
+  }
+}
+
+void
+EntryNode::LogDecision(const Steering::FlowKey& aFlow,
+                       Directory::RouteTag aTag,
+                       const Steering::Decision& aDecision)
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
   EventLog::Line line(Steering::ToString(aDecision.mReason));
-  line.Add("flow", FlowName(aPacket.mFlow))
+  line.Add("flow", FlowName(aFlow))
     .Add("action", Steering::ToString(aDecision.mAction))
     .Add("config_version", static_cast<int64_t>(mState.mRoutes.mVersion));
   if (mState.mConnectedAt != Base::TimePoint()) {
@@ -126,8 +178,13 @@
       .Add("candidates", static_cast<int64_t>(aDecision.mCandidates))
       .Add("outstanding", aDecision.mOutstanding)
       .Add("announced_age_ms", Milliseconds(aDecision.mDirectoryAge));
+  } else if (aDecision.mOwnLimit > 0) {
+    line.Add("candidates", static_cast<int64_t>(aDecision.mCandidates))
+      .Add("own_flows", aDecision.mOwnFlows)
+      .Add("peer_flows", aDecision.mPeerFlows)
+      .Add("own_limit", aDecision.mOwnLimit);
   } else {
-    line.Add("tag", aPacket.mTag.mValue);
+    line.Add("tag", aTag.mValue);
   }
   mEvents.Add(line, now);
 }
@@ -172,6 +229,7 @@
   }
   if (aEvent.mReply->peers_size() > 0) {
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
+    mState.mInstances = mPeers.size();
   }
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
 }
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace Fleet {
@@ -40,6 +41,10 @@
   void Stop();
   void SetSeeds(const std::vector<Base::InstanceId>& aSeeds) { mPoller.SetSeeds(aSeeds); }
 
+  /// Sets the function that forwards or resets a packet that Steer decided to hold. It is called on
+  /// the thread of the io_context.
+  void SetReleaseHandler(std::function<void(const Steering::ReleasedOpening&)> aHandler);
+
   /// Decides what to do with a packet, and updates the metrics. Logs the decision and the values it
   /// was based on, except for packets that are just forwarded by their tag.
   Steering::Decision Steer(const Steering::Packet& aPacket);
@@ -54,7 +59,12 @@
   void SendReports();
   void WaitForReport();
   void ReceiveReports();
-  void LogDecision(const Steering::Packet& aPacket, const Steering::Decision& aDecision);
+  void WaitForRelease();
+  void ReleaseOpenings();
+  void CountDecision(const Steering::Decision& aDecision);
+  void LogDecision(const Steering::FlowKey& aFlow,
+                   Directory::RouteTag aTag,
+                   const Steering::Decision& aDecision);
 
   boost::asio::io_context& mContext;
   const EntryNodeSettings mSettings;
@@ -70,6 +80,9 @@
   boost::asio::ip::udp::socket mReportSocket;
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mTimer;
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mReportTimer;
+  boost::asio::basic_waitable_timer<Base::RuntimeClock> mReleaseTimer;
+  std::function<void(const Steering::ReleasedOpening&)> mReleaseHandler;
+  bool mReleaseScheduled = false;
   std::vector<uint32_t> mPeers;
   uint64_t mIncarnation = 0;
   uint64_t mReportSequence = 0;
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -24,13 +24,26 @@
 /// penalty, flows cross availability zones while local slots are free, and fail if the link between
 /// the zones fails.
 constexpr double kRemotePenalty = 0.75;
+/// Flows for each slot of an instance's share of its availability zone's upstreams. More than one,
+/// because the end of a flow is known here later than at its upstream, whose slots must not idle.
+constexpr uint32_t kFlowsPerSharedSlot = 3;
 /// Factor by which an upstream is slower right after its start.
 constexpr double kColdStartFactor = 1.6;
 
+/// Slots and flows of the candidates in one place, local or remote.
+struct PlaceLoad
+{
+  uint32_t mSlots = 0;
+  uint32_t mOwnFlows = 0;
+  uint32_t mPeerFlows = 0;
+};
+
 struct Candidates
 {
   std::vector<const Directory::MergedUpstream*> mLocal;
   std::vector<const Directory::MergedUpstream*> mRemote;
+  PlaceLoad mLocalLoad;
+  PlaceLoad mRemoteLoad;
 };
 
 PreferenceGroup
@@ -84,6 +97,91 @@
   }
 }
 
+void
+AddCandidate(const ChoiceInput& aInput,
+             const Directory::MergedUpstream& aUpstream,
+             Candidates& aCandidates)
+{
+  const bool local = aUpstream.mUpstream.mAvailabilityZone == aInput.mAvailabilityZone;
+  (local ? aCandidates.mLocal : aCandidates.mRemote).push_back(&aUpstream);
+  PlaceLoad& place = local ? aCandidates.mLocalLoad : aCandidates.mRemoteLoad;
+  const Load load = LoadOf(aInput.mLoads, aUpstream.mTag);
+  place.mSlots += aUpstream.mUpstream.mSlots;
+  place.mOwnFlows += load.mOwnFlows;
+  place.mPeerFlows += load.mPeerFlows;
+}
+
+uint32_t
+DivideRoundingUp(uint32_t aDividend, uint32_t aDivisor)
+{
+  return (aDividend + aDivisor - 1) / aDivisor;
+}
+
+/// \return the flows that this instance may have at local upstreams whatever its peers have there.
+uint32_t
+OwnLimit(const ChoiceInput& aInput, const PlaceLoad& aLocal)
+{
+  const auto instances = static_cast<uint32_t>(aInput.mInstances);
+  return DivideRoundingUp(kFlowsPerSharedSlot * aLocal.mSlots, instances);
+}
+
+bool
+HasLocalRoom(const ChoiceInput& aInput, const PlaceLoad& aLocal)
+{
+  return aLocal.mOwnFlows + aLocal.mPeerFlows < aLocal.mSlots ||
+         aLocal.mOwnFlows < OwnLimit(aInput, aLocal);
+}
+
+/// The load that other availability zones put on remote upstreams is not known here, so an instance
+/// gives them no more than its share of their slots.
+bool
+HasRemoteRoom(const ChoiceInput& aInput, const Candidates& aCandidates)
+{
+  if (aCandidates.mLocal.empty()) {
+    return true;
+  }
+  const uint32_t local = aCandidates.mLocalLoad.mSlots;
+  const uint32_t remote = aCandidates.mRemoteLoad.mSlots;
+  const auto instances = static_cast<uint32_t>(aInput.mInstances);
+  const uint32_t share = DivideRoundingUp(remote * local, (remote + local) * instances);
+  return aCandidates.mRemoteLoad.mOwnFlows < share;
+}
+
+/// Chooses among responsive upstreams, as far as they have room.
+Choice
+ChooseWithRoom(const ChoiceInput& aInput,
+               const Candidates& aCandidates,
+               Base::RandomSource& aRandom)
+{
+  Choice choice;
+  double cost = 0;
+  if (HasLocalRoom(aInput, aCandidates.mLocalLoad)) {
+    SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
+  }
+  if (HasRemoteRoom(aInput, aCandidates)) {
+    const int samples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
+    SampleCandidates(aInput, aCandidates.mRemote, samples, aRandom, choice.mUpstream, cost);
+  }
+  choice.mSaturated = choice.mUpstream == nullptr;
+  choice.mOwnFlows = aCandidates.mLocalLoad.mOwnFlows;
+  choice.mPeerFlows = aCandidates.mLocalLoad.mPeerFlows;
+  choice.mOwnLimit = OwnLimit(aInput, aCandidates.mLocalLoad);
+  return choice;
+}
+
+Choice
+ChooseWithoutLimit(const ChoiceInput& aInput,
+                   const Candidates& aCandidates,
+                   Base::RandomSource& aRandom)
+{
+  Choice choice;
+  double cost = 0;
+  SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
+  const int remoteSamples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
+  SampleCandidates(aInput, aCandidates.mRemote, remoteSamples, aRandom, choice.mUpstream, cost);
+  return choice;
+}
+
 } // namespace
 
 Choice
@@ -95,22 +193,22 @@
     if (described.mState != Directory::State::Ready || described.mService != aInput.mService) {
       continue;
     }
-    Candidates& group = groups[PreferenceGroupOf(aInput, upstream)];
-    const bool local = described.mAvailabilityZone == aInput.mAvailabilityZone;
-    (local ? group.mLocal : group.mRemote).push_back(&upstream);
+    AddCandidate(aInput, upstream, groups[PreferenceGroupOf(aInput, upstream)]);
   }
-  for (const Candidates& group : groups) {
-    Choice choice;
-    double cost = 0;
-    SampleCandidates(aInput, group.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
-    const int remoteSamples = group.mLocal.empty() ? kLocalSamples : kRemoteSamples;
-    SampleCandidates(aInput, group.mRemote, remoteSamples, aRandom, choice.mUpstream, cost);
+  for (int group = Healthy; group < PreferenceGroupCount; ++group) {
+    const Candidates& candidates = groups[group];
+    const size_t count = candidates.mLocal.size() + candidates.mRemote.size();
+    if (count == 0) {
+      continue;
+    }
+    Choice choice = group == Healthy ? ChooseWithRoom(aInput, candidates, aRandom)
+                                     : ChooseWithoutLimit(aInput, candidates, aRandom);
+    choice.mCandidates = count;
     if (choice.mUpstream != nullptr) {
       const Load load = LoadOf(aInput.mLoads, choice.mUpstream->mTag);
-      choice.mCandidates = group.mLocal.size() + group.mRemote.size();
       choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
-      return choice;
     }
+    return choice;
   }
   return {};
 }
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -20,13 +20,22 @@
   const std::vector<Directory::RouteTag>& mExcluded;
   Base::Duration mLease;
   Base::TimePoint mNow;
+  /// Entry instances of the availability zone, including this one. They share its upstreams.
+  size_t mInstances = 1;
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
 struct Choice
 {
-  /// nullptr if the service has no usable upstream.
+  /// nullptr if the service has no usable upstream or no upstream has room.
   const Directory::MergedUpstream* mUpstream = nullptr;
+  /// True if there are responsive upstreams, but this instance may not give them more work now.
+  bool mSaturated = false;
+  /// Flows that this instance has at local upstreams, those of its peers, and the number that this
+  /// instance may always have. Set if mSaturated is true.
+  uint32_t mOwnFlows = 0;
+  uint32_t mPeerFlows = 0;
+  uint32_t mOwnLimit = 0;
   size_t mCandidates = 0;
   /// Flows with requests in progress at the chosen upstream.
   uint32_t mOutstanding = 0;
@@ -36,6 +45,10 @@
 /// fewest outstanding flows per slot. Upstreams in remote availability zones get a cost penalty.
 /// Upstreams whose lease has expired or that do not answer are used only if there are no others.
 /// Draining upstreams are never used.
+///
+/// The upstreams of the availability zone take at most as many flows as they have slots, as far as
+/// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
+/// this limit, a herd of callers fills the upstreams' queues, and all requests become late.
 Choice
 ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom);
 
--- a/src/libs/steering/flowload.cpp
+++ b/src/libs/steering/flowload.cpp
@@ -48,6 +48,13 @@
   }
 }
 
+Base::Duration
+MeanDuration(const FlowDurations& aDurations, const std::string& aService)
+{
+  const auto mean = aDurations.mMeans.find(aService);
+  return mean == aDurations.mMeans.end() ? Base::Duration::zero() : mean->second;
+}
+
 Base::Duration
 SilenceLimit(const FlowDurations& aDurations, const std::string& aService)
 {
--- a/src/libs/steering/flowload.h
+++ b/src/libs/steering/flowload.h
@@ -27,6 +27,10 @@
 void
 RecordDuration(FlowDurations& aDurations, const Flow& aFlow, Base::TimePoint aNow);
 
+/// \return the mean duration of the service's flows, or 0 if none has closed yet.
+Base::Duration
+MeanDuration(const FlowDurations& aDurations, const std::string& aService);
+
 /// \return the time without packets after which a flow of the service no longer counts as load. The
 /// end of a flow is not seen here if the upstream resets it or the caller gives up silently. Such
 /// flows must stop counting soon, or new flows avoid an idle upstream.
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -38,6 +38,8 @@
   bool mConfirmed = false;
   /// True if the flow is included in the outstanding flows of mTag.
   bool mCountedInLoad = false;
+  /// True while the opening packet waits in the queue of its service.
+  bool mHeld = false;
   std::vector<Directory::RouteTag> mTriedUpstreams;
   /// Sequence number of the opening packet. An opening packet with the same addresses but another
   /// sequence number opens a new flow.
--- /dev/null
+++ b/src/libs/steering/openings.cpp
@@ -0,0 +1,294 @@
+#include "steering/openings.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Steering {
+
+namespace Internal {
+
+Decision
+Refuse(Action aAction, Reason aReason)
+{
+  Decision decision;
+  decision.mAction = aAction;
+  decision.mReason = aReason;
+  return decision;
+}
+
+Decision
+ForwardTo(const State& aState,
+          const Directory::MergedUpstream& aUpstream,
+          Reason aReason,
+          Base::TimePoint aNow)
+{
+  Decision decision;
+  decision.mAction = Action::Forward;
+  decision.mReason = aReason;
+  decision.mTag = aUpstream.mTag;
+  decision.mUpstream = aUpstream.mUpstream.mId;
+  decision.mAddress = aUpstream.mUpstream.mAddress;
+  decision.mDirectoryAge = aNow - Directory::LastAnnounced(aState.mDirectory, aUpstream);
+  return decision;
+}
+
+void
+RecordUnansweredOpening(State& aState, Flow& aFlow, Base::TimePoint aNow)
+{
+  if (!aFlow.mUnansweredRecorded) {
+    aFlow.mUnansweredRecorded = true;
+    RemoveFromLoad(aState.mLoads, aFlow);
+    RecordUnanswered(aState.mLoads.mByTag[aFlow.mTag], aFlow.mForwardedAt, aNow);
+    if (!aFlow.mRemoteZone.empty()) {
+      RecordUnanswered(aState.mLoads.mByRemoteZone[aFlow.mRemoteZone], aFlow.mForwardedAt, aNow);
+    }
+  }
+}
+
+namespace {
+
+Choice
+ChooseFor(State& aState, const Settings& aSettings, const Flow& aFlow, Base::TimePoint aNow)
+{
+  const ChoiceInput input{
+    aState.mDirectory,     aState.mLoads,    aFlow.mService, aSettings.mAvailabilityZone,
+    aFlow.mTriedUpstreams, aSettings.mLease, aNow,           aState.mInstances
+  };
+  return ChooseUpstream(input, aState.mRandom);
+}
+
+/// Assigns the flow to the chosen upstream, if there is one.
+Decision
+Assign(State& aState,
+       const Settings& aSettings,
+       Flow& aFlow,
+       const Choice& aChoice,
+       Reason aReason,
+       Base::TimePoint aNow)
+{
+  if (aChoice.mUpstream == nullptr) {
+    // After a start, the directory is complete only when every upstream has had the time to renew
+    // its announcement. A reset before that could refuse a flow that an unknown upstream can serve.
+    const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
+    return Refuse(complete ? Action::Reset : Action::Drop, Reason::NoUpstream);
+  }
+  RemoveFromLoad(aState.mLoads, aFlow);
+  aFlow.mHeld = false;
+  aFlow.mTag = aChoice.mUpstream->mTag;
+  if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
+      aFlow.mTriedUpstreams.end()) {
+    aFlow.mTriedUpstreams.push_back(aFlow.mTag);
+  }
+  aFlow.mForwardedAt = aNow;
+  aFlow.mUnansweredRecorded = false;
+  const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
+  aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
+  AddToLoad(aState.mLoads, aFlow);
+  Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
+  decision.mCandidates = aChoice.mCandidates;
+  decision.mOutstanding = aChoice.mOutstanding;
+  return decision;
+}
+
+HeldOpening
+MakeHeldOpening(const State& aState,
+                const Settings& aSettings,
+                const Flow& aFlow,
+                const Packet& aPacket)
+{
+  HeldOpening opening;
+  opening.mFlow = aPacket.mFlow;
+  opening.mDatagram = std::string(aPacket.mDatagram);
+  opening.mSentAt = aFlow.mOpenedAt;
+  opening.mUsefulUntil = aFlow.mOpenedAt + aSettings.mOpeningLifetime;
+  const auto route = aState.mRoutes.mRoutes.find(aPacket.mFlow.mService);
+  if (route == aState.mRoutes.mRoutes.end()) {
+    return opening;
+  }
+  opening.mPriority = route->second.mPriority;
+  const Base::Duration objective = route->second.mLatencyObjective;
+  if (objective > Base::Duration::zero()) {
+    opening.mUsefulUntil =
+      aFlow.mOpenedAt + objective - MeanDuration(aState.mDurations, aFlow.mService);
+  }
+  return opening;
+}
+
+Decision
+RefuseSaturated(Action aAction, Reason aReason, const Choice& aChoice)
+{
+  Decision decision = Refuse(aAction, aReason);
+  decision.mCandidates = aChoice.mCandidates;
+  decision.mOwnFlows = aChoice.mOwnFlows;
+  decision.mPeerFlows = aChoice.mPeerFlows;
+  decision.mOwnLimit = aChoice.mOwnLimit;
+  return decision;
+}
+
+/// Puts the opening packet into the queue of its service, unless its turn would come only after the
+/// caller has ended the attempt.
+Decision
+HoldOpening(State& aState,
+            const Settings& aSettings,
+            Flow& aFlow,
+            const Packet& aPacket,
+            const Choice& aChoice,
+            Base::TimePoint aNow)
+{
+  OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
+  HeldOpening opening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
+  const Base::Duration wait = MeanDuration(aState.mDurations, aFlow.mService) *
+                              CountAhead(queue, opening, aNow) / aChoice.mOwnLimit;
+  if (aNow + wait > opening.mSentAt + aSettings.mOpeningLifetime ||
+      Size(queue) >= kMaxHeldOpenings) {
+    return RefuseSaturated(Action::Reset, Reason::Overloaded, aChoice);
+  }
+  aFlow.mHeld = true;
+  Hold(queue, std::move(opening));
+  return RefuseSaturated(Action::Hold, Reason::Saturated, aChoice);
+}
+
+Decision
+AssignOrHold(State& aState,
+             const Settings& aSettings,
+             Flow& aFlow,
+             const Packet& aPacket,
+             Reason aReason,
+             Base::TimePoint aNow)
+{
+  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow);
+  return choice.mSaturated ? HoldOpening(aState, aSettings, aFlow, aPacket, choice, aNow)
+                           : Assign(aState, aSettings, aFlow, choice, aReason, aNow);
+}
+
+Decision
+SteerRepeatedOpening(State& aState,
+                     const Settings& aSettings,
+                     Flow& aFlow,
+                     const Packet& aPacket,
+                     Base::TimePoint aNow)
+{
+  if (aFlow.mConfirmed) {
+    const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, aFlow.mTag);
+    return upstream == nullptr ? Refuse(Action::Drop, Reason::UnknownTag)
+                               : ForwardTo(aState, *upstream, Reason::RepeatedOpening, aNow);
+  }
+  if (aFlow.mHeld) {
+    return Refuse(Action::Hold, Reason::Saturated);
+  }
+  RecordUnansweredOpening(aState, aFlow, aNow);
+  return AssignOrHold(aState, aSettings, aFlow, aPacket, Reason::RepeatedOpening, aNow);
+}
+
+/// \return the decision for a flow that was held, or std::nullopt if there is still no room for it.
+std::optional<Decision>
+ReleaseFlow(State& aState, const Settings& aSettings, Flow& aFlow, Base::TimePoint aNow)
+{
+  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow);
+  if (choice.mSaturated) {
+    return std::nullopt;
+  }
+  return Assign(aState, aSettings, aFlow, choice, Reason::Released, aNow);
+}
+
+/// Forgets the flows whose callers have ended their attempt.
+void
+RemoveExpiredOpenings(State& aState,
+                      const Settings& aSettings,
+                      OpeningQueue& aQueue,
+                      Base::TimePoint aNow)
+{
+  for (const FlowKey& expired : RemoveExpired(aQueue, aSettings.mOpeningLifetime, aNow)) {
+    const auto flow = aState.mFlows.mFlows.find(expired);
+    if (flow != aState.mFlows.mFlows.end() && flow->second.mHeld) {
+      aState.mFlows.mFlows.erase(flow);
+    }
+  }
+}
+
+/// Forwards the packets of one service while upstreams have room.
+void
+ReleaseFrom(State& aState,
+            const Settings& aSettings,
+            OpeningQueue& aQueue,
+            Base::TimePoint aNow,
+            std::vector<ReleasedOpening>& aReleased)
+{
+  RemoveExpiredOpenings(aState, aSettings, aQueue, aNow);
+  while (const HeldOpening* next = Next(aQueue, aNow)) {
+    const auto flow = aState.mFlows.mFlows.find(next->mFlow);
+    // The flow may have been opened or replaced by a new one since it was held.
+    if (flow != aState.mFlows.mFlows.end() && flow->second.mHeld) {
+      const std::optional<Decision> decision = ReleaseFlow(aState, aSettings, flow->second, aNow);
+      if (!decision.has_value()) {
+        return;
+      }
+      if (decision->mAction != Action::Forward) {
+        aState.mFlows.mFlows.erase(flow);
+      }
+      aReleased.push_back({ next->mFlow, next->mDatagram, *decision });
+    }
+    RemoveNext(aQueue);
+  }
+}
+
+} // namespace
+
+Decision
+SteerOpening(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow)
+{
+  const auto known = aState.mFlows.mFlows.find(aPacket.mFlow);
+  if (known != aState.mFlows.mFlows.end()) {
+    if (known->second.mSequence == aPacket.mSequence) {
+      known->second.mLastPacketAt = aNow;
+      return SteerRepeatedOpening(aState, aSettings, known->second, aPacket, aNow);
+    }
+    RemoveFromLoad(aState.mLoads, known->second);
+    aState.mFlows.mFlows.erase(known);
+  }
+  if (aState.mRoutes.mVersion == 0) {
+    return Refuse(Action::Drop, Reason::NotStarted);
+  }
+  const auto route = aState.mRoutes.mRoutes.find(aPacket.mFlow.mService);
+  if (route == aState.mRoutes.mRoutes.end()) {
+    const bool fresh = aNow - aState.mConnectedAt < aSettings.mMaxConfigAge;
+    return Refuse(fresh ? Action::Reset : Action::Drop, Reason::NoRoute);
+  }
+  Flow flow;
+  flow.mService = SelectService(route->second, aState.mRandom);
+  flow.mRouteVersion = aState.mRoutes.mVersion;
+  flow.mSequence = aPacket.mSequence;
+  flow.mOpenedAt = aNow - aPacket.mAge;
+  flow.mLastPacketAt = aNow;
+  const Decision decision = AssignOrHold(aState, aSettings, flow, aPacket, Reason::NewFlow, aNow);
+  if (decision.mAction == Action::Forward || decision.mAction == Action::Hold) {
+    if (aState.mFlows.mFlows.size() < kMaxFlows) {
+      aState.mFlows.mFlows.emplace(aPacket.mFlow, std::move(flow));
+    } else {
+      RemoveFromLoad(aState.mLoads, flow);
+    }
+  }
+  return decision;
+}
+
+} // namespace Internal
+
+bool
+HasHeldOpenings(const State& aState)
+{
+  return std::any_of(aState.mOpeningsByService.begin(),
+                     aState.mOpeningsByService.end(),
+                     [](const auto& aItem) { return Size(aItem.second) > 0; });
+}
+
+std::vector<ReleasedOpening>
+ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  std::vector<ReleasedOpening> released;
+  for (auto& [service, queue] : aState.mOpeningsByService) {
+    Internal::ReleaseFrom(aState, aSettings, queue, aNow, released);
+  }
+  return released;
+}
+
+} // namespace Steering
--- a/src/libs/steering/routetable.cpp
+++ b/src/libs/steering/routetable.cpp
@@ -1,5 +1,6 @@
 #include "steering/routetable.h"
 
+#include <chrono>
 #include <utility>
 
 namespace Steering {
@@ -23,6 +24,8 @@
     for (const lw::config::WeightedService& target : declared.services()) {
       route.mServices.push_back({ target.service(), target.weight() });
     }
+    route.mLatencyObjective = std::chrono::milliseconds(declared.latency_objective_ms());
+    route.mPriority = declared.priority();
     aTable.mRoutes[{ declared.address(), static_cast<uint16_t>(declared.port()) }] =
       std::move(route);
   }
--- a/src/libs/steering/routetable.h
+++ b/src/libs/steering/routetable.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/random.h"
+#include "base/runtimeclock.h"
 
 #include "fleet.pb.h"
 
@@ -23,6 +24,10 @@
 struct Route
 {
   std::vector<WeightedService> mServices;
+  /// Time from the opening of a flow in which its request should be answered, or 0 if unknown.
+  Base::Duration mLatencyObjective{};
+  /// 0 is the most urgent.
+  uint32_t mPriority = 0;
 };
 
 /// Routes of the configuration in force at an entry instance. Its size is bounded by the
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -1,10 +1,14 @@
 #include "steering/steering.h"
 
+#include "steering/openings.h"
+
 #include <algorithm>
 #include <chrono>
 
 namespace Steering {
 
+using namespace Internal;
+
 namespace {
 
 using std::chrono::milliseconds;
@@ -17,134 +21,6 @@
 /// Time for which the record of a closed flow is kept, for retransmitted packets.
 constexpr seconds kClosedFlowLifetime{ 3 };
 
-/// Records the missing answer to the latest opening packet, once, against the upstream and, if it
-/// is remote, against its availability zone. The flow counts as load again when it is confirmed.
-void
-RecordUnansweredOpening(State& aState, Flow& aFlow, Base::TimePoint aNow)
-{
-  if (!aFlow.mUnansweredRecorded) {
-    aFlow.mUnansweredRecorded = true;
-    RemoveFromLoad(aState.mLoads, aFlow);
-    RecordUnanswered(aState.mLoads.mByTag[aFlow.mTag], aFlow.mForwardedAt, aNow);
-    if (!aFlow.mRemoteZone.empty()) {
-      RecordUnanswered(aState.mLoads.mByRemoteZone[aFlow.mRemoteZone], aFlow.mForwardedAt, aNow);
-    }
-  }
-}
-
-Decision
-Refuse(Action aAction, Reason aReason)
-{
-  Decision decision;
-  decision.mAction = aAction;
-  decision.mReason = aReason;
-  return decision;
-}
-
-Decision
-ForwardTo(const State& aState,
-          const Directory::MergedUpstream& aUpstream,
-          Reason aReason,
-          Base::TimePoint aNow)
-{
-  Decision decision;
-  decision.mAction = Action::Forward;
-  decision.mReason = aReason;
-  decision.mTag = aUpstream.mTag;
-  decision.mUpstream = aUpstream.mUpstream.mId;
-  decision.mAddress = aUpstream.mUpstream.mAddress;
-  decision.mDirectoryAge = aNow - Directory::LastAnnounced(aState.mDirectory, aUpstream);
-  return decision;
-}
-
-/// Assigns the flow to an upstream, preferably to one that was not tried before.
-Decision
-AssignUpstream(State& aState,
-               const Settings& aSettings,
-               Flow& aFlow,
-               Reason aReason,
-               Base::TimePoint aNow)
-{
-  const ChoiceInput input{ aState.mDirectory,
-                           aState.mLoads,
-                           aFlow.mService,
-                           aSettings.mAvailabilityZone,
-                           aFlow.mTriedUpstreams,
-                           aSettings.mLease,
-                           aNow };
-  const Choice choice = ChooseUpstream(input, aState.mRandom);
-  if (choice.mUpstream == nullptr) {
-    // After a start, the directory is complete only when every upstream has had the time to renew
-    // its announcement. A reset before that could refuse a flow that an unknown upstream can serve.
-    const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
-    return Refuse(complete ? Action::Reset : Action::Drop, Reason::NoUpstream);
-  }
-  RemoveFromLoad(aState.mLoads, aFlow);
-  aFlow.mTag = choice.mUpstream->mTag;
-  if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
-      aFlow.mTriedUpstreams.end()) {
-    aFlow.mTriedUpstreams.push_back(aFlow.mTag);
-  }
-  aFlow.mForwardedAt = aNow;
-  aFlow.mUnansweredRecorded = false;
-  const std::string& zone = choice.mUpstream->mUpstream.mAvailabilityZone;
-  aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
-  AddToLoad(aState.mLoads, aFlow);
-  Decision decision = ForwardTo(aState, *choice.mUpstream, aReason, aNow);
-  decision.mCandidates = choice.mCandidates;
-  decision.mOutstanding = choice.mOutstanding;
-  return decision;
-}
-
-Decision
-SteerRepeatedOpening(State& aState, const Settings& aSettings, Flow& aFlow, Base::TimePoint aNow)
-{
-  if (aFlow.mConfirmed) {
-    const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, aFlow.mTag);
-    return upstream == nullptr ? Refuse(Action::Drop, Reason::UnknownTag)
-                               : ForwardTo(aState, *upstream, Reason::RepeatedOpening, aNow);
-  }
-  RecordUnansweredOpening(aState, aFlow, aNow);
-  return AssignUpstream(aState, aSettings, aFlow, Reason::RepeatedOpening, aNow);
-}
-
-Decision
-SteerOpening(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow)
-{
-  const auto known = aState.mFlows.mFlows.find(aPacket.mFlow);
-  if (known != aState.mFlows.mFlows.end()) {
-    if (known->second.mSequence == aPacket.mSequence) {
-      known->second.mLastPacketAt = aNow;
-      return SteerRepeatedOpening(aState, aSettings, known->second, aNow);
-    }
-    RemoveFromLoad(aState.mLoads, known->second);
-    aState.mFlows.mFlows.erase(known);
-  }
-  if (aState.mRoutes.mVersion == 0) {
-    return Refuse(Action::Drop, Reason::NotStarted);
-  }
-  const auto route = aState.mRoutes.mRoutes.find(aPacket.mFlow.mService);
-  if (route == aState.mRoutes.mRoutes.end()) {
-    const bool fresh = aNow - aState.mConnectedAt < aSettings.mMaxConfigAge;
-    return Refuse(fresh ? Action::Reset : Action::Drop, Reason::NoRoute);
-  }
-  Flow flow;
-  flow.mService = SelectService(route->second, aState.mRandom);
-  flow.mRouteVersion = aState.mRoutes.mVersion;
-  flow.mSequence = aPacket.mSequence;
-  flow.mOpenedAt = aNow;
-  flow.mLastPacketAt = aNow;
-  const Decision decision = AssignUpstream(aState, aSettings, flow, Reason::NewFlow, aNow);
-  if (decision.mAction == Action::Forward) {
-    if (aState.mFlows.mFlows.size() < kMaxFlows) {
-      aState.mFlows.mFlows.emplace(aPacket.mFlow, std::move(flow));
-    } else {
-      RemoveFromLoad(aState.mLoads, flow);
-    }
-  }
-  return decision;
-}
-
 /// Updates the record of the flow, if this instance has one.
 /// \param aHandshake receives the duration of the handshake if the packet completes it.
 /// \return the tag of the upstream that serves the flow.
@@ -162,6 +38,7 @@
   flow.mLastPacketAt = aNow;
   if (!flow.mConfirmed && aPacket.mKind != PacketKind::Abort) {
     flow.mConfirmed = true;
+    flow.mHeld = false;
     aHandshake = aNow - flow.mOpenedAt;
     if (flow.mTag != aPacket.mTag) {
       RemoveFromLoad(aState.mLoads, flow);
@@ -238,6 +115,8 @@
       return "forward";
     case Action::Reset:
       return "reset";
+    case Action::Hold:
+      return "hold";
     case Action::Drop:
       break;
   }
@@ -252,6 +131,12 @@
       return "new_flow";
     case Reason::RepeatedOpening:
       return "repeated_opening";
+    case Reason::Saturated:
+      return "saturated";
+    case Reason::Released:
+      return "released";
+    case Reason::Overloaded:
+      return "overloaded";
     case Reason::Tagged:
       return "tagged";
     case Reason::NoRoute:
@@ -311,7 +196,7 @@
     if (silence > SilenceLimit(aState.mDurations, flow.mService)) {
       RemoveFromLoad(aState.mLoads, flow);
     }
-    if (!flow.mConfirmed && aNow - flow.mForwardedAt > kAnswerTimeout) {
+    if (!flow.mConfirmed && !flow.mHeld && aNow - flow.mForwardedAt > kAnswerTimeout) {
       RecordUnansweredOpening(aState, flow, aNow);
     }
     const bool closed = flow.mConfirmed && !flow.mCountedInLoad && silence > kClosedFlowLifetime;
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -7,10 +7,14 @@
 #include "steering/flowtable.h"
 #include "steering/loadreports.h"
 #include "steering/loadtable.h"
+#include "steering/openingqueue.h"
 #include "steering/routetable.h"
 
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
 
 namespace Steering {
 
@@ -38,6 +42,10 @@
   bool mCarriesData = false;
   /// Sequence number of an opening packet. Retransmissions have the same number.
   uint32_t mSequence = 0;
+  /// Time since the caller sent the first copy of an opening packet.
+  Base::Duration mAge{};
+  /// The whole datagram, kept while the packet is held. Valid during the call only.
+  std::string_view mDatagram;
 };
 
 enum class Action
@@ -45,13 +53,21 @@
   Forward,
   /// Reset the flow, which tells the caller at once that it is not served.
   Reset,
-  Drop
+  Drop,
+  /// Keep the packet until an upstream has room. ReleaseOpenings returns it later.
+  Hold
 };
 
 enum class Reason
 {
   NewFlow,
   RepeatedOpening,
+  /// No upstream has room for the flow.
+  Saturated,
+  /// The flow was held and an upstream has room now.
+  Released,
+  /// The flow would be held until its caller has ended the attempt.
+  Overloaded,
   Tagged,
   NoRoute,
   NoUpstream,
@@ -77,6 +93,11 @@
   Base::Endpoint mAddress;
   size_t mCandidates = 0;
   uint32_t mOutstanding = 0;
+  /// Why no upstream has room: flows of this instance and of its peers in the availability zone,
+  /// and the number that this instance may always have.
+  uint32_t mOwnFlows = 0;
+  uint32_t mPeerFlows = 0;
+  uint32_t mOwnLimit = 0;
   /// Time since the upstream was last known to announce itself.
   Base::Duration mDirectoryAge{};
   /// Time since the opening packet, set for the packet that completes the handshake.
@@ -91,6 +112,8 @@
   /// If the last reply of a connected control instance is older than this, a route that is unknown
   /// here may have been added since, so its packets are dropped instead of reset.
   Base::Duration mMaxConfigAge{};
+  /// A caller ends its attempt if it has no answer to its opening packet for this long.
+  Base::Duration mOpeningLifetime{};
 };
 
 /// State of the packet path of an entry instance. Used by the packet thread only. The members
@@ -103,13 +126,24 @@
   FlowDurations mDurations;
   LoadTable mLoads;
   PeerReports mReports;
+  std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
+  /// Entry instances of the availability zone, including this one.
+  size_t mInstances = 1;
   Base::RandomSource mRandom;
   /// When a control instance that is connected to the leader of the log last replied.
   Base::TimePoint mConnectedAt;
   Base::TimePoint mFirstReplyAt;
 };
 
-/// Decides whether to forward, reset or drop a packet, and updates the state of its flow.
+/// A held opening packet and what to do with it now.
+struct ReleasedOpening
+{
+  FlowKey mFlow;
+  std::string mDatagram;
+  Decision mDecision;
+};
+
+/// Decides whether to forward, reset, drop or hold a packet, and updates the state of its flow.
 Decision
 Steer(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow);
 
@@ -121,6 +155,15 @@
                const lw::fleet::PollReply& aReply,
                Base::TimePoint aNow);
 
+/// \return true if opening packets are held, so that ReleaseOpenings should be called soon.
+bool
+HasHeldOpenings(const State& aState);
+
+/// \return the held opening packets that upstreams have room for now, in the order in which they
+/// are to be forwarded. Removes packets whose callers have ended their attempt.
+std::vector<ReleasedOpening>
+ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow);
+
 /// Expires idle flows, load reports and upstreams, and records unanswered opening packets. To be
 /// called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
 void
--- a/tests/auto/steering/fixture.cpp
+++ b/tests/auto/steering/fixture.cpp
@@ -3,6 +3,22 @@
 namespace {
 
 constexpr Base::InstanceId kControl{ 1 };
+constexpr uint32_t kUrgentPriority = 1;
+constexpr uint32_t kNormalPriority = 2;
+constexpr uint32_t kLatencyObjectiveMs = 200;
+
+void
+AddRoute(lw::fleet::RouteUpdate& aUpdate, uint16_t aPort, uint32_t aPriority)
+{
+  lw::config::Route* route = aUpdate.add_routes();
+  route->set_address(SteeringFixture::kServiceAddress);
+  route->set_port(aPort);
+  route->set_priority(aPriority);
+  route->set_latency_objective_ms(kLatencyObjectiveMs);
+  lw::config::WeightedService* service = route->add_services();
+  service->set_service("desk");
+  service->set_weight(1);
+}
 
 } // namespace
 
@@ -12,6 +28,7 @@
   mSettings.mAvailabilityZone = "a";
   mSettings.mLease = std::chrono::seconds(5);
   mSettings.mMaxConfigAge = std::chrono::seconds(1);
+  mSettings.mOpeningLifetime = std::chrono::milliseconds(1400);
 }
 
 void
@@ -28,7 +45,7 @@
   upstream->set_port(8080);
   upstream->set_service("desk");
   upstream->set_availability_zone(aZone);
-  upstream->set_slots(2);
+  upstream->set_slots(mSlots);
   upstream->set_state(aState);
   Steering::ApplyPollReply(mState, kControl, reply, mNow);
 }
@@ -41,11 +58,8 @@
   lw::fleet::RouteUpdate* update = reply.mutable_routes();
   update->set_version(aVersion);
   if (aWithRoute) {
-    lw::config::Route* route = update->add_routes();
-    route->set_address(0x0a000001);
-    route->set_port(80);
-    route->add_services()->set_service("desk");
-    route->mutable_services(0)->set_weight(1);
+    AddRoute(*update, kServicePort, kNormalPriority);
+    AddRoute(*update, kUrgentPort, kUrgentPriority);
   }
   return Steering::ApplyPollReply(mState, kControl, reply, mNow);
 }
@@ -57,13 +71,24 @@
                       bool aCarriesData)
 {
   Steering::Packet packet;
-  packet.mFlow = { { 0x64400001, aCallerPort }, { 0x0a000001, 80 } };
+  packet.mFlow = { { 0x64400001, aCallerPort }, { kServiceAddress, kServicePort } };
   packet.mKind = aKind;
   packet.mTag = aTag;
   packet.mCarriesData = aCarriesData;
   return Steering::Steer(mState, mSettings, packet, mNow);
 }
 
+Steering::Decision
+SteeringFixture::SendOpening(uint16_t aCallerPort, Base::Duration aAge, uint16_t aServicePort)
+{
+  Steering::Packet packet;
+  packet.mFlow = { { 0x64400001, aCallerPort }, { kServiceAddress, aServicePort } };
+  packet.mKind = Steering::PacketKind::Opening;
+  packet.mAge = aAge;
+  packet.mDatagram = "opening";
+  return Steering::Steer(mState, mSettings, packet, mNow);
+}
+
 Directory::RouteTag
 SteeringFixture::OpenFlow(uint16_t aCallerPort)
 {
--- a/tests/auto/steering/tst_choice.cpp
+++ b/tests/auto/steering/tst_choice.cpp
@@ -23,6 +23,7 @@
 // Guards against uneven load due to a choice that ignores the outstanding flows.
 TEST(Choice, FlowsAreBalancedOverUpstreams)
 {
+  mSlots = 20;
   Declare(1);
   for (uint64_t id = 1; id <= 5; ++id) {
     AddUpstream(id, "a");
@@ -49,6 +50,7 @@
 // after another delayed flow.
 TEST(Choice, UnreachableZoneIsAvoidedAsAWhole)
 {
+  mSlots = 20;
   Declare(1);
   for (uint64_t id = 10; id < 20; ++id) {
     AddUpstream(id, "b");
--- a/tests/auto/steering/tst_flowload.cpp
+++ b/tests/auto/steering/tst_flowload.cpp
@@ -37,6 +37,7 @@
 // upstream reset, or whose callers gave up, made the others look busy for seconds.
 TEST(FlowLoad, AbandonedFlowsDoNotDivertNewOnes)
 {
+  mSlots = 20;
   Declare(1);
   AddUpstream(1, "a");
   Serve(1, 50, milliseconds(40));
--- a/tests/auto/steering/tst_steering.cpp
+++ b/tests/auto/steering/tst_steering.cpp
@@ -62,6 +62,7 @@
 // Guards against new flows to a draining upstream.
 TEST(Steering, DrainingUpstreamGetsNoNewFlow)
 {
+  mSlots = 100;
   Declare(1);
   AddUpstream(1, "a");
   AddUpstream(2, "a", lw::fleet::DRAINING);
@@ -89,7 +90,7 @@
   CHECK_TRUE(Declare(5));
   CHECK_FALSE(Declare(4, false));
   CHECK_FALSE(Declare(5, false));
-  LONGS_EQUAL(1, mState.mRoutes.mRoutes.size());
+  LONGS_EQUAL(2, mState.mRoutes.mRoutes.size());
 }
 
 // Guards against a delta that is applied to a version other than its base.
@@ -100,11 +101,13 @@
   lw::fleet::RouteUpdate* update = reply.mutable_routes();
   update->set_version(7);
   update->set_base_version(4);
-  lw::fleet::RouteAddress* removed = update->add_removed();
-  removed->set_address(0x0a000001);
-  removed->set_port(80);
+  for (const uint16_t port : { kServicePort, kUrgentPort }) {
+    lw::fleet::RouteAddress* removed = update->add_removed();
+    removed->set_address(kServiceAddress);
+    removed->set_port(port);
+  }
   CHECK_FALSE(Steering::ApplyPollReply(mState, Base::InstanceId(1), reply, mNow));
-  LONGS_EQUAL(1, mState.mRoutes.mRoutes.size());
+  LONGS_EQUAL(2, mState.mRoutes.mRoutes.size());
   update->set_base_version(5);
   CHECK_TRUE(Steering::ApplyPollReply(mState, Base::InstanceId(1), reply, mNow));
   LONGS_EQUAL(0, mState.mRoutes.mRoutes.size());
@@ -153,6 +156,7 @@
 // that did not answer before.
 TEST(Steering, UnresponsiveUpstreamIsAvoided)
 {
+  mSlots = 100;
   Declare(1);
   AddUpstream(1, "a");
   AddUpstream(2, "a");
