Let a replacement join through any member of the log

Cause: a control instance with an empty disk sends a hello to the 3 seeds of its settings, and only the leader adds it. With 5 control instances the leader may be another one, so the replacement never joined and its lost replica kept counting towards the quorum.

A member that is connected to the leader names it in its reply, and the replacement greets it too. tst_replacement (JoinsWhileTheLeaderIsNotConfigured) failed before.

--- a/src/libs/consensus/formation.cpp
+++ b/src/libs/consensus/formation.cpp
@@ -58,6 +58,33 @@
   AppendInCurrentTerm(aNode, std::move(entry), aOutput);
 }
 
+void
+SendHello(const Node& aNode, const Context& aContext, Base::InstanceId aInstance, Output& aOutput)
+{
+  if (aInstance == aContext.mSettings.mSelf) {
+    return;
+  }
+  Message message = MakeMessage(aNode, aContext, aInstance, StorageId());
+  message.mutable_hello()->set_formed(IsFormed(aNode));
+  aOutput.mMessages.push_back(std::move(message));
+}
+
+/// Sends a hello to the leader that a peer has named, unless it is one of the configured instances,
+/// which get one anyway. Otherwise a replacement could not join while the leader is another one.
+void
+SendHelloToLeader(const Node& aNode,
+                  const Context& aContext,
+                  Base::InstanceId aLeader,
+                  Output& aOutput)
+{
+  const auto& configured = aContext.mSettings.mInstances;
+  const bool member = FindReplica(CurrentMembership(aNode), OwnStorageId(aNode)) != nullptr;
+  const bool greeted = std::find(configured.begin(), configured.end(), aLeader) != configured.end();
+  if (!member && !greeted && aLeader != Base::InstanceId()) {
+    SendHello(aNode, aContext, aLeader, aOutput);
+  }
+}
+
 } // namespace
 
 void
@@ -70,11 +97,7 @@
   aNode.mNextHello =
     aContext.mNow + aContext.mSettings.mHeartbeatInterval * kHelloIntervalInHeartbeats;
   for (const Base::InstanceId instance : aContext.mSettings.mInstances) {
-    if (instance != aContext.mSettings.mSelf) {
-      Message message = MakeMessage(aNode, aContext, instance, StorageId());
-      message.mutable_hello()->set_formed(IsFormed(aNode));
-      aOutput.mMessages.push_back(std::move(message));
-    }
+    SendHello(aNode, aContext, instance, aOutput);
   }
   FormClusterIfAllUnformed(aNode, aContext, aOutput);
 }
@@ -97,6 +120,9 @@
 {
   Message message = MakeReply(aNode, aContext, aMessage);
   message.mutable_hello_reply()->set_formed(IsFormed(aNode));
+  if (aNode.mRole != Role::Leader && IsConnected(aNode, aContext)) {
+    message.mutable_hello_reply()->set_leader(aNode.mLeader.mValue);
+  }
   aOutput.mMessages.push_back(std::move(message));
   const StorageId storage(aMessage.from_storage());
   if (aNode.mRole == Role::Leader && FindReplica(CurrentMembership(aNode), storage) == nullptr) {
@@ -110,6 +136,7 @@
   const Base::InstanceId instance(aMessage.from());
   if (aMessage.hello_reply().formed()) {
     aNode.mUnformedPeers.erase(instance);
+    SendHelloToLeader(aNode, aContext, Base::InstanceId(aMessage.hello_reply().leader()), aOutput);
     return;
   }
   aNode.mUnformedPeers[instance] = StorageId(aMessage.from_storage());
--- a/tests/auto/consensus/tst_replacement.cpp
+++ b/tests/auto/consensus/tst_replacement.cpp
@@ -175,3 +175,31 @@
   RequireAcknowledged(cluster, 10);
   RequireConverged(cluster);
 }
+
+// Guards against a replacement that never joins because the leader is not among the instances that
+// its settings name. The loss of two more disks would then cost the quorum for good.
+TEST(Replacement, JoinsWhileTheLeaderIsNotConfigured)
+{
+  FakeCluster cluster(11, 5);
+  cluster.mSettings.mInstances.resize(3);
+  cluster.mSettings.mOpenMembership = true;
+  cluster.mSettings.mMinVoters = 5;
+  FormCluster(cluster, 3);
+  cluster.Start(4);
+  cluster.Start(5);
+  CHECK_TRUE(cluster.RunUntil([&] { return AreAllVoters(cluster, 5); }, kBound));
+  while (cluster.Leader() < 4) {
+    const uint32_t leader = cluster.Leader();
+    cluster.SetIsolated(leader, true);
+    CHECK_TRUE(cluster.RunUntil([&] { return cluster.Leader() != 0; }, kBound));
+    cluster.SetIsolated(leader, false);
+    cluster.Run(seconds(2));
+  }
+  LoseWithDisk(cluster, 1);
+  cluster.Start(1);
+  CHECK_TRUE(cluster.RunUntil([&] { return AreAllVoters(cluster, 5); }, kBound));
+  LoseWithDisk(cluster, 4);
+  LoseWithDisk(cluster, 5);
+  RequireAcknowledged(cluster, 10);
+  RequireConverged(cluster);
+}
