--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -27,6 +27,8 @@
 /// Flows for each slot of an instance's share of its availability zone's upstreams. More than one,
 /// because the end of a flow is known here later than at its upstream, whose slots must not idle.
 constexpr uint32_t kFlowsPerSharedSlot = 3;
+/// The same for flows that are late already, so that they do not delay those that are not.
+constexpr uint32_t kLateFlowsPerSharedSlot = 2;
 /// Factor by which an upstream is slower right after its start.
 constexpr double kColdStartFactor = 1.6;
 
@@ -122,7 +124,8 @@
 OwnLimit(const ChoiceInput& aInput, const PlaceLoad& aLocal)
 {
   const auto instances = static_cast<uint32_t>(aInput.mInstances);
-  return DivideRoundingUp(kFlowsPerSharedSlot * aLocal.mSlots, instances);
+  const uint32_t flowsPerSlot = aInput.mIsLate ? kLateFlowsPerSharedSlot : kFlowsPerSharedSlot;
+  return DivideRoundingUp(flowsPerSlot * aLocal.mSlots, instances);
 }
 
 bool
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -22,6 +22,8 @@
   Base::TimePoint mNow;
   /// Entry instances of the availability zone, including this one. They share its upstreams.
   size_t mInstances = 1;
+  /// True if the flow can't meet its latency objective any more. It leaves room for others.
+  bool mIsLate = false;
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
@@ -32,7 +34,7 @@
   /// True if there are responsive upstreams, but this instance may not give them more work now.
   bool mSaturated = false;
   /// Flows that this instance has at local upstreams, those of its peers, and the number that this
-  /// instance may always have. Set if mSaturated is true.
+  /// instance may always have. Set if there are responsive upstreams.
   uint32_t mOwnFlows = 0;
   uint32_t mPeerFlows = 0;
   uint32_t mOwnLimit = 0;
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -48,12 +48,21 @@
 namespace {
 
 Choice
-ChooseFor(State& aState, const Settings& aSettings, const Flow& aFlow, Base::TimePoint aNow)
+ChooseFor(State& aState,
+          const Settings& aSettings,
+          const Flow& aFlow,
+          bool aIsLate,
+          Base::TimePoint aNow)
 {
-  const ChoiceInput input{
-    aState.mDirectory,     aState.mLoads,    aFlow.mService, aSettings.mAvailabilityZone,
-    aFlow.mTriedUpstreams, aSettings.mLease, aNow,           aState.mInstances
-  };
+  const ChoiceInput input{ aState.mDirectory,
+                           aState.mLoads,
+                           aFlow.mService,
+                           aSettings.mAvailabilityZone,
+                           aFlow.mTriedUpstreams,
+                           aSettings.mLease,
+                           aNow,
+                           aState.mInstances,
+                           aIsLate };
   return ChooseUpstream(input, aState.mRandom);
 }
 
@@ -131,20 +140,19 @@
 HoldOpening(State& aState,
             const Settings& aSettings,
             Flow& aFlow,
-            const Packet& aPacket,
+            HeldOpening aOpening,
             const Choice& aChoice,
             Base::TimePoint aNow)
 {
   OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
-  HeldOpening opening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
   const Base::Duration wait = MeanDuration(aState.mDurations, aFlow.mService) *
-                              CountAhead(queue, opening, aNow) / aChoice.mOwnLimit;
-  if (aNow + wait > opening.mSentAt + aSettings.mOpeningLifetime ||
+                              CountAhead(queue, aOpening, aNow) / aChoice.mOwnLimit;
+  if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
       Size(queue) >= kMaxHeldOpenings) {
     return RefuseSaturated(Action::Reset, Reason::Overloaded, aChoice);
   }
   aFlow.mHeld = true;
-  Hold(queue, std::move(opening));
+  Hold(queue, std::move(aOpening));
   return RefuseSaturated(Action::Hold, Reason::Saturated, aChoice);
 }
 
@@ -156,9 +164,14 @@
              Reason aReason,
              Base::TimePoint aNow)
 {
-  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow);
-  return choice.mSaturated ? HoldOpening(aState, aSettings, aFlow, aPacket, choice, aNow)
-                           : Assign(aState, aSettings, aFlow, choice, aReason, aNow);
+  HeldOpening opening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
+  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow > opening.mUsefulUntil, aNow);
+  // A packet must not overtake those that are held.
+  const auto queue = aState.mOpeningsByService.find(aFlow.mService);
+  const bool mustWait = queue != aState.mOpeningsByService.end() && Size(queue->second) > 0;
+  return choice.mSaturated || (mustWait && choice.mOwnLimit > 0)
+           ? HoldOpening(aState, aSettings, aFlow, std::move(opening), choice, aNow)
+           : Assign(aState, aSettings, aFlow, choice, aReason, aNow);
 }
 
 Decision
@@ -182,9 +195,13 @@
 
 /// \return the decision for a flow that was held, or std::nullopt if there is still no room for it.
 std::optional<Decision>
-ReleaseFlow(State& aState, const Settings& aSettings, Flow& aFlow, Base::TimePoint aNow)
+ReleaseFlow(State& aState,
+            const Settings& aSettings,
+            Flow& aFlow,
+            bool aIsLate,
+            Base::TimePoint aNow)
 {
-  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow);
+  const Choice choice = ChooseFor(aState, aSettings, aFlow, aIsLate, aNow);
   if (choice.mSaturated) {
     return std::nullopt;
   }
@@ -219,7 +236,8 @@
     const auto flow = aState.mFlows.mFlows.find(next->mFlow);
     // The flow may have been opened or replaced by a new one since it was held.
     if (flow != aState.mFlows.mFlows.end() && flow->second.mHeld) {
-      const std::optional<Decision> decision = ReleaseFlow(aState, aSettings, flow->second, aNow);
+      const std::optional<Decision> decision =
+        ReleaseFlow(aState, aSettings, flow->second, aNow > next->mUsefulUntil, aNow);
       if (!decision.has_value()) {
         return;
       }
--- a/tests/auto/steering/fleetmodelconstants.h
+++ b/tests/auto/steering/fleetmodelconstants.h
@@ -12,4 +12,6 @@
 constexpr std::chrono::milliseconds kDrainBound{ 3000 };
 constexpr std::chrono::milliseconds kApplyBound{ 3000 };
 constexpr uint64_t kMillion = 1000000;
+/// Enough for all flows of the model, so that none is held.
+constexpr uint32_t kSlots = 10000;
 const Base::Endpoint kRoute{ 0x0a000001, 80 };
