Reset only flows that surely can't be served, and forget silent ones sooner after a start

Cause: the wait of a held flow was estimated from the share of one instance. The estimate takes the whole availability zone now. Flows that ended unseen also counted for 2.5 s until the first flow had closed after a start; they count for 0.4 s now. A new packet waits only for held ones that go before it.

--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -168,6 +168,7 @@
   choice.mSaturated = choice.mUpstream == nullptr;
   choice.mOwnFlows = aCandidates.mLocalLoad.mOwnFlows;
   choice.mPeerFlows = aCandidates.mLocalLoad.mPeerFlows;
+  choice.mZoneLimit = std::max(kFlowsPerSharedSlot * aCandidates.mLocalLoad.mSlots, 1U);
   choice.mOwnLimit = OwnLimit(aInput, aCandidates.mLocalLoad);
   return choice;
 }
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -38,6 +38,8 @@
   uint32_t mOwnFlows = 0;
   uint32_t mPeerFlows = 0;
   uint32_t mOwnLimit = 0;
+  /// Flows that all instances together may have at local upstreams if each uses its share.
+  uint32_t mZoneLimit = 0;
   size_t mCandidates = 0;
   /// Flows with requests in progress at the chosen upstream.
   uint32_t mOutstanding = 0;
--- a/src/libs/steering/flowload.cpp
+++ b/src/libs/steering/flowload.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-/// Bounds of the silence limit. The upper one applies until a flow of the service has closed.
+/// Bounds of the silence limit. The lower one applies until a flow of the service has closed.
 constexpr milliseconds kMinSilenceLimit{ 400 };
 constexpr milliseconds kMaxSilenceLimit{ 2500 };
 /// Silence limit in mean durations, so that only few slow requests are taken for ended flows.
@@ -58,12 +58,8 @@
 Base::Duration
 SilenceLimit(const FlowDurations& aDurations, const std::string& aService)
 {
-  const auto mean = aDurations.mMeans.find(aService);
-  if (mean == aDurations.mMeans.end()) {
-    return kMaxSilenceLimit;
-  }
   return std::clamp<Base::Duration>(
-    mean->second * kSilenceLimitMeans, kMinSilenceLimit, kMaxSilenceLimit);
+    MeanDuration(aDurations, aService) * kSilenceLimitMeans, kMinSilenceLimit, kMaxSilenceLimit);
 }
 
 } // namespace Steering
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -135,7 +135,7 @@
 }
 
 /// Puts the opening packet into the queue of its service, unless its turn would come only after the
-/// caller has ended the attempt.
+/// caller has ended the attempt, even if the other instances used none of the upstreams.
 Decision
 HoldOpening(State& aState,
             const Settings& aSettings,
@@ -146,7 +146,7 @@
 {
   OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
   const Base::Duration wait = MeanDuration(aState.mDurations, aFlow.mService) *
-                              CountAhead(queue, aOpening, aNow) / aChoice.mOwnLimit;
+                              CountAhead(queue, aOpening, aNow) / aChoice.mZoneLimit;
   if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
       Size(queue) >= kMaxHeldOpenings) {
     return RefuseSaturated(Action::Reset, Reason::Overloaded, aChoice);
@@ -166,9 +166,10 @@
 {
   HeldOpening opening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
   const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow > opening.mUsefulUntil, aNow);
-  // A packet must not overtake those that are held.
+  // A packet must not overtake held ones that go before it.
   const auto queue = aState.mOpeningsByService.find(aFlow.mService);
-  const bool mustWait = queue != aState.mOpeningsByService.end() && Size(queue->second) > 0;
+  const bool mustWait =
+    queue != aState.mOpeningsByService.end() && CountAhead(queue->second, opening, aNow) > 0;
   return choice.mSaturated || (mustWait && choice.mOwnLimit > 0)
            ? HoldOpening(aState, aSettings, aFlow, std::move(opening), choice, aNow)
            : Assign(aState, aSettings, aFlow, choice, aReason, aNow);
