Drop instead of reset what may just be opening, and tear the right file in the soak

A repeated opening packet that finds no upstream or no room was reset, although the answer to the first copy may be on its way. It is dropped now; the caller's next copy decides. tst_openings (FlowThatWasForwardedIsNotReset) failed before.

The soak's fault torn_tail looked for files named 'segment', while the log's files are named 'log-', so it tore nothing.

--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -66,6 +66,14 @@
   return ChooseUpstream(input, aState.mRandom);
 }
 
+/// \return the action for a flow that can't be served. A flow that was forwarded before may just
+/// have been opened, so only the others are reset.
+Action
+ActionForUnserved(const Flow& aFlow)
+{
+  return aFlow.mTriedUpstreams.empty() ? Action::Reset : Action::Drop;
+}
+
 /// Assigns the flow to the chosen upstream, if there is one.
 Decision
 Assign(State& aState,
@@ -79,7 +87,7 @@
     // After a start, the directory is complete only when every upstream has had the time to renew
     // its announcement. A reset before that could refuse a flow that an unknown upstream can serve.
     const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
-    return Refuse(complete ? Action::Reset : Action::Drop, Reason::NoUpstream);
+    return Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
   }
   RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mHeld = false;
@@ -149,7 +157,7 @@
                               CountAhead(queue, aOpening, aNow) / aChoice.mZoneLimit;
   if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
       Size(queue) >= kMaxHeldOpenings) {
-    return RefuseSaturated(Action::Reset, Reason::Overloaded, aChoice);
+    return RefuseSaturated(ActionForUnserved(aFlow), Reason::Overloaded, aChoice);
   }
   aFlow.mHeld = true;
   Hold(queue, std::move(aOpening));
--- a/tests/auto/steering/tst_openings.cpp
+++ b/tests/auto/steering/tst_openings.cpp
@@ -188,3 +188,20 @@
     CHECK_TRUE(OpenNext() == Action::Forward);
   }
 }
+
+// Guards against a reset of a flow that its upstream is just opening: the caller may have sent the
+// second copy of the opening packet before the answer to the first one arrived.
+TEST(Openings, FlowThatWasForwardedIsNotReset)
+{
+  Declare(1);
+  AddUpstream(1, "a");
+  mNow += mSettings.mLease + milliseconds(1);
+  AddUpstream(1, "a");
+  SendOpening(1001, milliseconds(0));
+  mNow += milliseconds(200);
+  AddUpstream(1, "a", lw::fleet::DRAINING);
+  const Steering::Decision decision = SendOpening(1001, milliseconds(200));
+  CHECK_TRUE(decision.mReason == Reason::NoUpstream);
+  CHECK_TRUE(decision.mAction == Action::Drop);
+  CHECK_TRUE(SendOpening(1002, milliseconds(0)).mAction == Action::Reset);
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -314,7 +314,7 @@
     async def fault_torn_tail(self, control):
         control.kill()
         folder = control.settings["data_directory"]
-        segments = sorted(name for name in os.listdir(folder) if name.startswith("segment"))
+        segments = sorted(name for name in os.listdir(folder) if name.startswith("log-"))
         if segments:
             with open(os.path.join(folder, segments[-1]), "ab") as file:
                 file.write(self.random.randbytes(self.random.randint(1, 200)))
