Count a flow as load only while a request is in progress

A request is in progress from the caller's data until its next packet without data, which acknowledges the answer, or for 4 mean durations if no such packet comes. tst_flowload (KeptFlowCountsOnlyDuringARequest) failed before; the bound of SlowRequestsKeepCounting is three times the mean now, because a request is timed from its data and no longer from its opening packet.

--- a/src/libs/steering/flowload.cpp
+++ b/src/libs/steering/flowload.cpp
@@ -9,14 +9,43 @@
 
 using std::chrono::milliseconds;
 
-/// Bounds of the silence limit. The lower one applies until a flow of the service has closed.
-constexpr milliseconds kMinSilenceLimit{ 400 };
+/// Bounds of the time for which a request counts as load, and its value before the first answer.
+constexpr milliseconds kMinSilenceLimit{ 20 };
 constexpr milliseconds kMaxSilenceLimit{ 2500 };
-/// Silence limit in mean durations, so that only few slow requests are taken for ended flows.
-constexpr int kSilenceLimitMeans = 6;
-/// Weight of the latest flow in the mean is 1 / kMeanWeight.
+constexpr milliseconds kFirstSilenceLimit{ 400 };
+/// Silence limit in mean durations, so that only few slow requests are taken for ended ones.
+constexpr int kSilenceLimitMeans = 4;
+/// Weight of the latest request in the mean is 1 / kMeanWeight.
 constexpr int kMeanWeight = 16;
 
+Base::Duration
+SilenceLimit(const ServiceRequests& aService)
+{
+  if (aService.mMeanDuration == Base::Duration::zero()) {
+    return kFirstSilenceLimit;
+  }
+  return std::clamp<Base::Duration>(
+    aService.mMeanDuration * kSilenceLimitMeans, kMinSilenceLimit, kMaxSilenceLimit);
+}
+
+void
+ForgetSilentFlowsOf(ServiceRequests& aService,
+                    LoadTable& aLoads,
+                    FlowTable& aFlows,
+                    Base::TimePoint aNow)
+{
+  const Base::Duration limit = SilenceLimit(aService);
+  std::deque<BusyFlow>& busy = aService.mBusyFlows;
+  while (!busy.empty() && aNow - busy.front().mRequestAt > limit) {
+    const auto flow = aFlows.mFlows.find(busy.front().mFlow);
+    // A later request of the flow has an entry of its own.
+    if (flow != aFlows.mFlows.end() && flow->second.mRequestAt == busy.front().mRequestAt) {
+      RemoveFromLoad(aLoads, flow->second);
+    }
+    busy.pop_front();
+  }
+}
+
 } // namespace
 
 void
@@ -39,27 +68,45 @@
 }
 
 void
-RecordDuration(FlowDurations& aDurations, const Flow& aFlow, Base::TimePoint aNow)
+StartRequest(RequestTable& aRequests,
+             LoadTable& aLoads,
+             const FlowKey& aKey,
+             Flow& aFlow,
+             Base::TimePoint aNow)
+{
+  AddToLoad(aLoads, aFlow);
+  aFlow.mRequestAt = aNow;
+  aRequests[aFlow.mService].mBusyFlows.push_back({ aKey, aNow });
+}
+
+void
+FinishRequest(RequestTable& aRequests, LoadTable& aLoads, Flow& aFlow, Base::TimePoint aNow)
 {
-  const Base::Duration duration = aNow - aFlow.mForwardedAt;
-  const auto [mean, added] = aDurations.mMeans.try_emplace(aFlow.mService, duration);
-  if (!added) {
-    mean->second += (duration - mean->second) / kMeanWeight;
+  if (!aFlow.mCountedInLoad) {
+    return;
   }
+  RemoveFromLoad(aLoads, aFlow);
+  const Base::Duration duration = aNow - aFlow.mRequestAt;
+  Base::Duration& mean = aRequests[aFlow.mService].mMeanDuration;
+  mean = mean == Base::Duration::zero() ? duration : mean + (duration - mean) / kMeanWeight;
 }
 
 Base::Duration
-MeanDuration(const FlowDurations& aDurations, const std::string& aService)
+MeanDuration(const RequestTable& aRequests, const std::string& aService)
 {
-  const auto mean = aDurations.mMeans.find(aService);
-  return mean == aDurations.mMeans.end() ? Base::Duration::zero() : mean->second;
+  const auto service = aRequests.find(aService);
+  return service == aRequests.end() ? Base::Duration::zero() : service->second.mMeanDuration;
 }
 
-Base::Duration
-SilenceLimit(const FlowDurations& aDurations, const std::string& aService)
+void
+ForgetSilentFlows(RequestTable& aRequests,
+                  LoadTable& aLoads,
+                  FlowTable& aFlows,
+                  Base::TimePoint aNow)
 {
-  return std::clamp<Base::Duration>(
-    MeanDuration(aDurations, aService) * kSilenceLimitMeans, kMinSilenceLimit, kMaxSilenceLimit);
+  for (auto& [name, service] : aRequests) {
+    ForgetSilentFlowsOf(service, aLoads, aFlows, aNow);
+  }
 }
 
 } // namespace Steering
--- a/src/libs/steering/flowload.h
+++ b/src/libs/steering/flowload.h
@@ -3,18 +3,33 @@
 #include "steering/flowtable.h"
 #include "steering/loadtable.h"
 
+#include <deque>
 #include <string>
 #include <unordered_map>
 
 namespace Steering {
 
-/// Mean duration of the flows of each service, from the opening packet to the caller's last one.
-/// Holds one entry for each service that had a flow here. After a restart it is measured again.
-struct FlowDurations
+/// A flow with a request in progress, in the order in which the requests were sent.
+struct BusyFlow
 {
-  std::unordered_map<std::string, Base::Duration> mMeans;
+  FlowKey mFlow;
+  Base::TimePoint mRequestAt;
 };
 
+/// Requests of one service in progress at this instance.
+struct ServiceRequests
+{
+  /// Mean time from a request to its answer, or 0 before the first answer. The answers do not pass
+  /// this instance. They show by the caller's next packet without data.
+  Base::Duration mMeanDuration{};
+  /// Has an entry for each request that was sent within the silence limit.
+  std::deque<BusyFlow> mBusyFlows;
+};
+
+/// Requests by service, one entry for each service that had a flow here. After a restart they are
+/// measured again.
+using RequestTable = std::unordered_map<std::string, ServiceRequests>;
+
 /// Counts the flow in the load of its upstream, unless it is counted already.
 void
 AddToLoad(LoadTable& aLoads, Flow& aFlow);
@@ -23,18 +38,30 @@
 void
 RemoveFromLoad(LoadTable& aLoads, Flow& aFlow);
 
-/// Records that the caller closed the flow.
+/// Records that the caller sent a request or opened the flow to send one.
 void
-RecordDuration(FlowDurations& aDurations, const Flow& aFlow, Base::TimePoint aNow);
+StartRequest(RequestTable& aRequests,
+             LoadTable& aLoads,
+             const FlowKey& aKey,
+             Flow& aFlow,
+             Base::TimePoint aNow);
 
-/// \return the mean duration of the service's flows, or 0 if none has closed yet.
-Base::Duration
-MeanDuration(const FlowDurations& aDurations, const std::string& aService);
+/// Records that the caller received the answer to its request.
+void
+FinishRequest(RequestTable& aRequests, LoadTable& aLoads, Flow& aFlow, Base::TimePoint aNow);
 
-/// \return the time without packets after which a flow of the service no longer counts as load. The
-/// end of a flow is not seen here if the upstream resets it or the caller gives up silently. Such
-/// flows must stop counting soon, or new flows avoid an idle upstream.
+/// \return the mean time from a request of the service to its answer, or 0 if it is not known.
 Base::Duration
-SilenceLimit(const FlowDurations& aDurations, const std::string& aService);
+MeanDuration(const RequestTable& aRequests, const std::string& aService);
+
+/// Removes the flows from the load whose answer should have come long ago. The end of a request is
+/// not seen here if the upstream resets the flow, the caller gives up silently, or the caller does
+/// not acknowledge a short answer. Such flows must stop counting soon, or new flows avoid an idle
+/// upstream.
+void
+ForgetSilentFlows(RequestTable& aRequests,
+                  LoadTable& aLoads,
+                  FlowTable& aFlows,
+                  Base::TimePoint aNow);
 
 } // namespace Steering
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -40,6 +40,10 @@
   bool mCountedInLoad = false;
   /// True while the opening packet waits in the queue of its service.
   bool mHeld = false;
+  /// True if the caller has sent data, so that a packet without data acknowledges an answer.
+  bool mHasSentData = false;
+  /// When the caller sent its latest request or completed the handshake.
+  Base::TimePoint mRequestAt;
   std::vector<Directory::RouteTag> mTriedUpstreams;
   /// Sequence number of the opening packet. An opening packet with the same addresses but another
   /// sequence number opens a new flow.
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -54,6 +54,7 @@
           bool aIsLate,
           Base::TimePoint aNow)
 {
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
   const ChoiceInput input{ aState.mDirectory,
                            aState.mLoads,
                            aFlow.mService,
@@ -126,7 +127,7 @@
   const Base::Duration objective = route->second.mLatencyObjective;
   if (objective > Base::Duration::zero()) {
     opening.mUsefulUntil =
-      aFlow.mOpenedAt + objective - MeanDuration(aState.mDurations, aFlow.mService);
+      aFlow.mOpenedAt + objective - MeanDuration(aState.mRequests, aFlow.mService);
   }
   return opening;
 }
@@ -153,7 +154,7 @@
             Base::TimePoint aNow)
 {
   OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
-  const Base::Duration wait = MeanDuration(aState.mDurations, aFlow.mService) *
+  const Base::Duration wait = MeanDuration(aState.mRequests, aFlow.mService) *
                               CountAhead(queue, aOpening, aNow) / aChoice.mZoneLimit;
   if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
       Size(queue) >= kMaxHeldOpenings) {
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -48,15 +48,17 @@
     if (!flow.mRemoteZone.empty()) {
       RecordAnswer(aState.mLoads.mByRemoteZone[flow.mRemoteZone], aNow);
     }
-    AddToLoad(aState.mLoads, flow);
+    StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
   }
-  if (aPacket.mKind == PacketKind::Closing && flow.mCountedInLoad) {
-    RecordDuration(aState.mDurations, flow, aNow);
-  }
-  if (aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort) {
+  if (aPacket.mKind == PacketKind::Abort) {
     RemoveFromLoad(aState.mLoads, flow);
   } else if (aPacket.mCarriesData) {
-    AddToLoad(aState.mLoads, flow);
+    flow.mHasSentData = true;
+    StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
+  } else if (flow.mHasSentData) {
+    FinishRequest(aState.mRequests, aState.mLoads, flow, aNow);
+  } else if (aPacket.mKind == PacketKind::Closing) {
+    RemoveFromLoad(aState.mLoads, flow);
   }
   // If a second upstream answers a retransmitted opening packet late, the caller's packets carry
   // the second upstream's tag although the flow is open at the first one.
@@ -193,15 +195,13 @@
   for (auto item = flows.begin(); item != flows.end();) {
     Flow& flow = item->second;
     const Base::Duration silence = aNow - flow.mLastPacketAt;
-    if (silence > SilenceLimit(aState.mDurations, flow.mService)) {
-      RemoveFromLoad(aState.mLoads, flow);
-    }
     if (!flow.mConfirmed && !flow.mHeld && aNow - flow.mForwardedAt > kAnswerTimeout) {
       RecordUnansweredOpening(aState, flow, aNow);
     }
     const bool closed = flow.mConfirmed && !flow.mCountedInLoad && silence > kClosedFlowLifetime;
     item = closed || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
   }
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
   ExpireReports(aState.mReports, aState.mLoads, aNow);
   RemoveUnusedLoads(aState.mLoads, aNow);
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -123,7 +123,7 @@
   RouteTable mRoutes;
   Directory::MergedDirectory mDirectory;
   FlowTable mFlows;
-  FlowDurations mDurations;
+  RequestTable mRequests;
   LoadTable mLoads;
   PeerReports mReports;
   std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
