--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -50,15 +50,14 @@
     }
     StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
   }
-  if (aPacket.mKind == PacketKind::Abort) {
+  const bool closesUnused = aPacket.mKind == PacketKind::Closing && !flow.mHasSentData;
+  if (aPacket.mKind == PacketKind::Abort || closesUnused) {
     RemoveFromLoad(aState.mLoads, flow);
   } else if (aPacket.mCarriesData) {
     flow.mHasSentData = true;
     StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
   } else if (flow.mHasSentData) {
     FinishRequest(aState.mRequests, aState.mLoads, flow, aNow);
-  } else if (aPacket.mKind == PacketKind::Closing) {
-    RemoveFromLoad(aState.mLoads, flow);
   }
   // If a second upstream answers a retransmitted opening packet late, the caller's packets carry
   // the second upstream's tag although the flow is open at the first one.
