--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,8 @@
 ROUTES = lambda net: [("r-lookup", f"{net}.200", 8443, "idempotent", "tagsvc")]
 # "x s (1) later"; the largest dose of replace_core in the site file is 2.05.
 REPLACE_X_S = 2.0
+# With VARIANT=crash, the leader is gone for good without SIGTERM, and the successor comes later: default of kinds.
+CRASH_X_S = 1.0
 # for_s of after_ack_wipe in the site file.
 WIPE_FOR_S = 3.0
 
@@ -46,11 +48,17 @@
         leader = operator.leader()
         if leader is None:
             raise CannotRun("no leader seen")
-        leaving = next(core for core in cores if core.ip != leader)
+        crash = os.environ.get("VARIANT") == "crash"
+        leaving = next(core for core in cores if (core.ip == leader) == crash)
         successor = platform.add("core-4", "lw-control", 14, leaving.zone, False)
-        successor.start()
-        time.sleep(REPLACE_X_S)
-        leaving.terminate()
+        if crash:
+            leaving.kill("gone for good")
+            time.sleep(CRASH_X_S)
+            successor.start()
+        else:
+            successor.start()
+            time.sleep(REPLACE_X_S)
+            leaving.terminate()
         # The removed machine stops counting as lost once its successor has had CatchUpS.
         time.sleep(max(0.0, successor.started_at + BOUNDS["CatchUpS"] + 0.1 - time.monotonic()))
         platform.record("platform: the successor has had CatchUpS; no machine is lost now")
