--- a/review/common/flows.py
+++ b/review/common/flows.py
@@ -254,7 +254,7 @@
         self.syn(flow, 0)
 
     def syn(self, flow, copy):
-        if flow["state"] != "opening":
+        if flow["state"] != "opening" or flow["end"]:
             return
         if copy == len(SYN_COPIES_S):
             self.finish(flow, "not opened")
@@ -281,7 +281,7 @@
                 self.record(f"client: port {flow['port']} opens its flow")
                 self.request(flow)
             return
-        if flow["unacked"] and packet.data and packet.seq == flow["next"]:
+        if flow["unacked"] and packet.data and packet.seq == flow["next"]:  # An answer fits into one packet here.
             flow["next"] += len(packet.data)
             flow["answers"] += 1
             flow["unacked"] = None
