--- a/review/common/system.py
+++ b/review/common/system.py
@@ -320,13 +320,14 @@
     """Runs play(platform), which returns whether the rule was broken. Exits with 1, 0 or 2."""
     platform = None
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         platform = Platform(folder)
         code = 1 if play(platform) else 0
-    except CannotRun as error:
-        print(f"cannot run: {error}")
+    except Exception as error:  # Exit code 1 must mean that the rule was broken.
+        print(f"cannot run: {error!r}")
         if platform:
-            platform.record(f"cannot run: {error}")
+            platform.record(f"cannot run: {error!r}")
     finally:
         if platform:
             platform.record(f"result: {('rule held', 'RULE BROKEN', 'could not run')[code]}")
