--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,8 @@
 REPLACE_X_S = 2.0
 # With VARIANT=crash, the leader is gone for good without SIGTERM, and the successor comes later: default of kinds.
 CRASH_X_S = 1.0
+# Time beyond CatchUpS of the successor before the disk is lost.
+MARGIN_S, CRASH_MARGIN_S = 1.0, 0.1
 # for_s of after_ack_wipe in the site file.
 WIPE_FOR_S = 3.0
 
@@ -60,7 +62,8 @@
             time.sleep(REPLACE_X_S)
             leaving.terminate()
         # The removed machine stops counting as lost once its successor has had CatchUpS.
-        time.sleep(max(0.0, successor.started_at + BOUNDS["CatchUpS"] + 0.1 - time.monotonic()))
+        margin_s = CRASH_MARGIN_S if crash else MARGIN_S
+        time.sleep(max(0.0, successor.started_at + BOUNDS["CatchUpS"] + margin_s - time.monotonic()))
         platform.record("platform: the successor has had CatchUpS; no machine is lost now")
     if not operator.replace(make_config(5, ROUTES(platform.net), ["tagsvc"], 1400), 1.5):
         raise CannotRun("the change before the disk loss was not acknowledged")
