--- a/review/common/flows.py
+++ b/review/common/flows.py
@@ -80,6 +80,9 @@
         self.synacks = 0
         # Returns true if this SYN+ACK, counted from 1, is lost on its way.
         self.loses_synack = lambda count: False
+        # Seconds for which a SYN+ACK waits at the host's link, and whether it is repeated until it is acknowledged.
+        self.delays_synack = lambda count: 0.0
+        self.repeats_synack = True
         self.resets = []
         self.sequence = 0
         self.beat_at = None
@@ -155,20 +158,25 @@
             flow.update(tag=packet.tag, unacked=[], buffer=b"")
             self.half_open[key] = flow
             self.record(f"{self.name}: SYN of port {packet.sport}")
-            self.offer(key, flow, 0)
+            self.synacks += 1
+            delay = self.delays_synack(self.synacks)
+            if delay:
+                self.record(f"{self.name}: SYN+ACK to port {packet.sport} waits {delay} s")
+                self.loop.later(delay, lambda: self.offer(key, flow, 0))
+            else:
+                self.offer(key, flow, 0)
 
     def offer(self, key, flow, retries):
         """Sends the SYN+ACK, and again until it is acknowledged or after 8 retransmissions."""
         if self.half_open.get(key) is not flow:
             return
-        self.synacks += retries == 0
         if retries == 0 and self.loses_synack(self.synacks):
             self.record(f"{self.name}: SYN+ACK to port {key[1]} is lost on its way")
         else:
             self.send(key, flow["dst"], flow["dport"], SYN | ACK, flow["seq"], flow["next"], flow["tag"])
-        if retries < len(RETRANSMIT_S):
+        if self.repeats_synack and retries < len(RETRANSMIT_S):
             self.loop.later(RETRANSMIT_S[retries], lambda: self.offer(key, flow, retries + 1))
-        else:
+        elif retries == len(RETRANSMIT_S):
             del self.half_open[key]
 
     def take(self, key, flow, packet):
