--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,8 +11,8 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 # lossy in the site file: x = 0.025.
 LOST_ONE_IN = 40
-# VARIANT=late: nothing is lost and hosts send each SYN+ACK once, but one in 40 waits at its host's link. RULES.md takes a
-# machine for slowed where packets wait over half a second.
+# VARIANT=late: nothing is lost and hosts send each SYN+ACK once, but one in 40 waits at its host's link. RULES.md takes
+# a machine for slowed where packets wait over half a second.
 LATE = os.environ.get("VARIANT") == "late"
 LATE_S = 0.4
 FLOWS, FLOWS_PER_S, REQUESTS, PAUSE_S = 240, 20, 3, 4.0
@@ -57,7 +57,7 @@
         ends[flow["end"]] = ends.get(flow["end"], 0) + 1
     lost = sum(1 for number in range(1, sent[0] + 1) if number % LOST_ONE_IN == 0) if TROUBLE else 0
     broken = [flow["port"] for flow in flows if flow["end"] == "reset while open"]
-    platform.record(f"check: SYN+ACK {sent[0]}, lost or late {lost}; flows: {ends}; open flows that were reset: {broken}")
+    platform.record(f"check: SYN+ACK {sent[0]}, lost or late {lost}; flows: {ends}; open flows reset: {broken}")
     for host in hosts:
         host.alive = False
     loop.stop()
