--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,6 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from system import BOUNDS, TROUBLE, CannotRun, Operator, make_config, run_case
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
 ROUTES = lambda net: [("r-lookup", f"{net}.200", 8443, "idempotent", "tagsvc")]
 # "x s (1) later"; the largest dose of replace_core in the site file is 2.05.
 REPLACE_X_S = 2.0
@@ -82,4 +81,4 @@
     return newest is None or newest < operator.acknowledged
 
 
-run_case(FOLDER, play)
+run_case(play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,6 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from system import TROUBLE, CannotRun, Operator, make_config, run_case
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
 # bad_config in the site file: count = 3, gap_s = 1.0 (troubles), count = 8, gap_s = 0.45 (day scale-1).
 BAD_COUNT, BAD_GAP_S = 3, 1.0
 # Time for which the operator sends a call again that got no clear response.
@@ -48,4 +47,4 @@
     return 2 * len(faulty) >= len(cores)
 
 
-run_case(FOLDER, play)
+run_case(play)
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-exec python3 "$(dirname "$0")/case.py"
+# Writes what was sent, answered and run to record.txt in this folder, or in RECORD_DIR if that is set.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+exec python3 "$folder/case.py" "${RECORD_DIR:-$folder}/record.txt"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,7 +8,6 @@
 from flows import Client, Host, Loop, Router
 from system import TROUBLE, ZONES, CannotRun, Operator, make_config, run_case
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
 # lossy in the site file: x = 0.025.
 LOST_ONE_IN = 40
 # VARIANT=late: nothing is lost and hosts send each SYN+ACK once, but one in 40 waits at its host's link. RULES.md takes
@@ -64,4 +63,4 @@
     return bool(broken)
 
 
-run_case(FOLDER, play)
+run_case(play)
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -45,11 +45,10 @@
 
 
 class Record:
-    """Writes what happened, with the time since the start, to record.txt beside the script."""
+    """Writes what happened, with the time since the start, to the file that run.sh names."""
 
-    def __init__(self, folder):
-        folder = os.environ.get("RECORD_DIR", folder)
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.started = time.monotonic()
         self.lock = threading.Lock()
 
@@ -181,8 +180,8 @@
 class Platform:
     """Starts and restarts machines, and ends all of them."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="lw-review-")
         self.net = pick_network()
         self.roles = deploy_roles()
@@ -316,13 +315,14 @@
     }
 
 
-def run_case(folder, play):
-    """Runs play(platform), which returns whether the rule was broken. Exits with 1, 0 or 2."""
+def run_case(play):
+    """Runs play(platform), which returns whether the rule was broken. Exits with 1, 0 or 2. The first argument of the
+    program is the path of the record."""
     platform = None
     code = 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        platform = Platform(folder)
+        platform = Platform(sys.argv[1])
         code = 1 if play(platform) else 0
     except Exception as error:  # Exit code 1 must mean that the rule was broken.
         print(f"cannot run: {error!r}")
