Log the voters and learners of the log at each change

The logs of a control instance told who leads but not which replicas count toward the quorum.

One line at each change of the membership, from every control instance.

--- a/src/libs/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -112,6 +112,8 @@
   Base::TimePoint mNextRelease;
   Base::TimePoint mStopDeadline;
   bool mDone = false;
+  /// Log index of the membership that was logged last.
+  Consensus::LogIndex mLoggedMembershipIndex = 0;
   absl::Status mFailure;
   Base::TimePoint mNextRecovery;
   /// Runtime clock in nanoseconds at the last iteration of the log thread.
--- a/src/libs/control/logstatus.cpp
+++ b/src/libs/control/logstatus.cpp
@@ -1,5 +1,7 @@
 #include "control/logstatus.h"
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "control/logdriver.h"
 
 #include <glog/logging.h>
@@ -8,6 +10,29 @@
 
 namespace Control {
 
+namespace {
+
+std::string
+DescribeInstance(uint32_t aInstance, bool aIdIsAddress)
+{
+  return aIdIsAddress ? Base::ToString(Base::Endpoint{ aInstance, 0 }) : absl::StrCat(aInstance);
+}
+
+} // namespace
+
+std::string
+DescribeMembers(const lw::operator_api::ControlStatus& aStatus, bool aIdsAreAddresses)
+{
+  std::vector<std::string> voters;
+  std::vector<std::string> learners;
+  for (const lw::operator_api::ControlMember& member : aStatus.members()) {
+    (member.voter() ? voters : learners)
+      .push_back(DescribeInstance(member.instance(), aIdsAreAddresses));
+  }
+  const std::string text = absl::StrCat("voters ", absl::StrJoin(voters, ", "));
+  return learners.empty() ? text : absl::StrCat(text, "; learners ", absl::StrJoin(learners, ", "));
+}
+
 lw::operator_api::ControlStatus
 MakeStatus(const Consensus::Node& aNode,
            const Consensus::Context& aContext,
@@ -75,6 +100,13 @@
     LOG(INFO) << "[control] " << (status.leads() ? "Leads" : "Stopped leading") << ", term "
               << status.term() << ".";
   }
+  const auto& memberships = mReplica.mNode.mMemberships;
+  const Consensus::LogIndex changedAt = memberships.empty() ? 0 : memberships.back().mIndex;
+  if (changedAt != mLoggedMembershipIndex) {
+    mLoggedMembershipIndex = changedAt;
+    LOG(INFO) << "[control] Membership at index " << changedAt << ": "
+              << DescribeMembers(status, mSettings.mIdsAreAddresses) << ".";
+  }
   const std::lock_guard<std::mutex> lock(mMutex);
   mStatus = std::move(status);
   mLeader = mReplica.mNode.mLeader;
--- a/src/libs/control/logstatus.h
+++ b/src/libs/control/logstatus.h
@@ -5,6 +5,8 @@
 
 #include "operator.pb.h"
 
+#include <string>
+
 namespace Control {
 
 /// Creates the status of this instance and its log for operators.
@@ -14,4 +16,9 @@
            const Consensus::Context& aContext,
            const absl::Status& aFailure);
 
+/// \return the voters and learners of the log, for the log of the process.
+/// \param aIdsAreAddresses is true if instance ids are IPv4 addresses.
+std::string
+DescribeMembers(const lw::operator_api::ControlStatus& aStatus, bool aIdsAreAddresses);
+
 } // namespace Control
