Keep the number of voters odd and replace a voter as soon as it has gone

Callers saw: a core machine was replaced at a new address, and 5 s after the start of its successor another one lost its disk. From then on every read and change of the configuration got 503, for good, and the version that had just been acknowledged never came back.

Cause: a caught-up learner became a fourth voter beside the three, so the quorum was 3, and the voter that stopped kept its vote until it had been silent for 5 s, although a replacement was ready and the process knew that it stops. The disk loss left 2 of 4 voters, and nothing can be changed without a quorum.

Change: with an open membership, a learner without a voter to replace stays a learner. A silent voter is removed after an election timeout if a caught-up learner can take its place, then the learner is promoted. A voter that stops says so in its replies; the learner is promoted first, and the process runs on until it is told of its removal, 2 s at most. An even membership releases a voter at once.

UnnamedInstanceBecomesAVoter expected the fourth voter, which is the fault. In its place, UnnamedInstanceReplacesALostVoter expects that the learner becomes a voter when a voter is lost.

--- a/src/libs/consensus/formation.cpp
+++ b/src/libs/consensus/formation.cpp
@@ -69,6 +69,16 @@
   aOutput.mMessages.push_back(std::move(message));
 }
 
+/// Asks the other members whether this replica has been removed. The leader sends nothing more to a
+/// replica that it has removed.
+void
+SendHelloToMembers(const Node& aNode, const Context& aContext, Output& aOutput)
+{
+  for (const lw::consensus::Replica& replica : CurrentMembership(aNode).replicas()) {
+    SendHello(aNode, aContext, Base::InstanceId(replica.instance()), aOutput);
+  }
+}
+
 /// Sends a hello to the leader that a peer has named, unless it is one of the configured instances,
 /// which get one anyway. Otherwise a replacement could not join while the leader is another one.
 void
@@ -91,11 +101,15 @@
 SendDueHello(Node& aNode, const Context& aContext, Output& aOutput)
 {
   const bool member = FindReplica(CurrentMembership(aNode), OwnStorageId(aNode)) != nullptr;
-  if (member || aContext.mNow < aNode.mNextHello) {
+  if ((member && !aNode.mLeaving) || aContext.mNow < aNode.mNextHello) {
     return;
   }
   aNode.mNextHello =
     aContext.mNow + aContext.mSettings.mHeartbeatInterval * kHelloIntervalInHeartbeats;
+  if (member) {
+    SendHelloToMembers(aNode, aContext, aOutput);
+    return;
+  }
   for (const Base::InstanceId instance : aContext.mSettings.mInstances) {
     SendHello(aNode, aContext, instance, aOutput);
   }
@@ -156,10 +170,19 @@
     return found != aNode.mProgress.end() && found->second.mSyncedIndex >= aNode.mCommitIndex &&
            aContext.mNow - found->second.mLastReply < aContext.mSettings.mElectionTimeout;
   };
+  const auto isSilentFor = [&](StorageId aStorage, Base::Duration aTimeout) {
+    const auto found = aNode.mProgress.find(aStorage);
+    return found != aNode.mProgress.end() && aContext.mNow - found->second.mLastReply >= aTimeout;
+  };
   const auto isSilent = [&](StorageId aStorage) {
+    return isSilentFor(aStorage, aContext.mSettings.mElectionTimeout);
+  };
+  const auto isLeaving = [&](StorageId aStorage) {
     const auto found = aNode.mProgress.find(aStorage);
-    return found != aNode.mProgress.end() &&
-           aContext.mNow - found->second.mLastReply >= aContext.mSettings.mVoterRemovalTimeout;
+    return found != aNode.mProgress.end() && found->second.mLeaving && !isSilent(aStorage);
+  };
+  const auto isUnresponsive = [&](StorageId aStorage) {
+    return isSilentFor(aStorage, aContext.mSettings.mVoterRemovalTimeout);
   };
   const std::optional<Membership> changed =
     NextMembershipChange({ CurrentMembership(aNode),
@@ -168,7 +191,9 @@
                            aNode.mJoining,
                            hasCaughtUp,
                            aContext.mSettings.mOpenMembership,
+                           isLeaving,
                            isSilent,
+                           isUnresponsive,
                            aContext.mSettings.mMinVoters,
                            aContext.mSettings.mMaxVoters });
   if (!changed.has_value()) {
--- a/src/libs/consensus/formation.h
+++ b/src/libs/consensus/formation.h
@@ -4,7 +4,8 @@
 
 namespace Consensus::Internal {
 
-/// Sends a Hello to the other instances as long as this replica is not part of a membership.
+/// Sends a Hello to the other instances as long as this replica is not part of a membership, or
+/// while it waits for its removal.
 void
 SendDueHello(Node& aNode, const Context& aContext, Output& aOutput);
 
--- a/src/libs/consensus/membership.cpp
+++ b/src/libs/consensus/membership.cpp
@@ -41,8 +41,62 @@
     replicas.begin(), replicas.end(), [](const auto& aReplica) { return aReplica.voter(); }));
 }
 
-/// Removes an unresponsive replica. Its instance may never return, and as long as it counts toward
-/// the quorum, the membership tolerates fewer further failures.
+/// \return true if the replica is a learner that has caught up and whose instance has no other
+/// replica that must be removed first.
+bool
+IsPromotable(const MembershipChangeInput& aInput, const lw::consensus::Replica& aReplica)
+{
+  return !aReplica.voter() && aInput.mHasCaughtUp(StorageId(aReplica.storage())) &&
+         FindOtherReplica(aInput.mMembership, aReplica.instance(), aReplica.storage()) < 0;
+}
+
+size_t
+PromotableCount(const MembershipChangeInput& aInput)
+{
+  const auto& replicas = aInput.mMembership.replicas();
+  return static_cast<size_t>(
+    std::count_if(replicas.begin(), replicas.end(), [&](const auto& aReplica) {
+      return IsPromotable(aInput, aReplica);
+    }));
+}
+
+/// \return true if the membership tolerates as many failures with one voter fewer.
+bool
+HasSpareVoter(const Membership& aMembership, size_t aMinVoters)
+{
+  const size_t voters = VoterCount(aMembership);
+  return voters % 2 == 0 && voters > aMinVoters;
+}
+
+/// Removes a voter that seems to have failed if a caught-up learner can take its place at once, and
+/// one that failed or is about to stop if the quorum is smaller without it. A voter that does not
+/// return counts toward the quorum until it is removed, so the next failure could cost the quorum
+/// for good.
+std::optional<Membership>
+RemoveReplaceable(const MembershipChangeInput& aInput)
+{
+  const bool spare = HasSpareVoter(aInput.mMembership, aInput.mMinVoters);
+  // With an even number of voters, the learner is promoted before another voter is removed.
+  const bool replacementReady =
+    VoterCount(aInput.mMembership) % 2 != 0 && PromotableCount(aInput) > 0;
+  if (!aInput.mOpenMembership || (!spare && !replacementReady)) {
+    return std::nullopt;
+  }
+  for (int i = 0; i < aInput.mMembership.replicas_size(); ++i) {
+    const lw::consensus::Replica& replica = aInput.mMembership.replicas(i);
+    const StorageId storage(replica.storage());
+    const bool removable = aInput.mIsSilent(storage) || (spare && aInput.mIsLeaving(storage));
+    if (replica.voter() && storage != aInput.mSelf && removable) {
+      Membership changed = aInput.mMembership;
+      Remove(changed, i);
+      return changed;
+    }
+  }
+  return std::nullopt;
+}
+
+/// Removes a replica that has been silent for a long time. Its instance may never return, and as
+/// long as it counts toward the quorum, the membership tolerates fewer further failures.
 std::optional<Membership>
 RemoveUnresponsive(const MembershipChangeInput& aInput)
 {
@@ -62,8 +116,30 @@
   return std::nullopt;
 }
 
+bool
+HasLeavingVoter(const MembershipChangeInput& aInput)
+{
+  const auto& replicas = aInput.mMembership.replicas();
+  return std::any_of(replicas.begin(), replicas.end(), [&](const auto& aReplica) {
+    return aReplica.voter() && aInput.mIsLeaving(StorageId(aReplica.storage()));
+  });
+}
+
+/// \return true if a learner whose instance has no other replica should become a voter.
+bool
+IsVoterNeeded(const MembershipChangeInput& aInput)
+{
+  if (!aInput.mOpenMembership) {
+    return true;
+  }
+  const size_t voters = VoterCount(aInput.mMembership);
+  const bool one = voters % 2 == 0 || HasLeavingVoter(aInput);
+  const size_t added = one ? 1 : 2;
+  return voters + added <= aInput.mMaxVoters && PromotableCount(aInput) >= added;
+}
+
 /// Removes the replica that a caught-up learner replaces or, if there is none, promotes the learner
-/// to a voter.
+/// to a voter if another voter is needed.
 std::optional<Membership>
 AdvanceLearner(const MembershipChangeInput& aInput, int aPosition)
 {
@@ -74,7 +150,7 @@
   Membership changed = aInput.mMembership;
   const int replaced = FindOtherReplica(changed, learner.instance(), learner.storage());
   if (replaced < 0) {
-    if (aInput.mOpenMembership && VoterCount(changed) >= aInput.mMaxVoters) {
+    if (!IsVoterNeeded(aInput)) {
       return std::nullopt;
     }
     changed.mutable_replicas(aPosition)->set_voter(true);
@@ -142,6 +218,16 @@
   return std::find(retired.begin(), retired.end(), aStorage.mValue) != retired.end();
 }
 
+bool
+CanReleaseVoter(const Membership& aMembership, size_t aMinVoters)
+{
+  const auto& replicas = aMembership.replicas();
+  return HasSpareVoter(aMembership, aMinVoters) ||
+         std::any_of(replicas.begin(), replicas.end(), [](const auto& aReplica) {
+           return !aReplica.voter();
+         });
+}
+
 bool
 HasQuorum(const Membership& aMembership, const std::function<bool(StorageId)>& aHolds)
 {
@@ -167,6 +253,9 @@
 std::optional<Membership>
 NextMembershipChange(const MembershipChangeInput& aInput)
 {
+  if (std::optional<Membership> changed = RemoveReplaceable(aInput)) {
+    return changed;
+  }
   for (int i = 0; i < aInput.mMembership.replicas_size(); ++i) {
     if (aInput.mMembership.replicas(i).voter()) {
       continue;
--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -309,6 +309,7 @@
   for (auto other = aNode.mProgress.begin(); other != aNode.mProgress.end(); ++other) {
     const auto sinceLastReply = aContext.mNow - other->second.mLastReply;
     const bool eligible = IsVoter(CurrentMembership(aNode), other->first) &&
+                          !other->second.mLeaving &&
                           sinceLastReply < aContext.mSettings.mElectionTimeout;
     const bool better =
       best == aNode.mProgress.end() || other->second.mSyncedIndex > best->second.mSyncedIndex;
@@ -324,6 +325,21 @@
   return output;
 }
 
+void
+StartLeaving(Node& aNode, const Context& aContext)
+{
+  aNode.mLeaving = true;
+  aNode.mNextHello = aContext.mNow + aContext.mSettings.mHeartbeatInterval;
+}
+
+bool
+AwaitsRemoval(const Node& aNode, const Settings& aSettings)
+{
+  const Membership& membership = CurrentMembership(aNode);
+  return aSettings.mOpenMembership && IsVoter(membership, OwnStorageId(aNode)) &&
+         CanReleaseVoter(membership, aSettings.mMinVoters);
+}
+
 bool
 IsSnapshotDue(const Node& aNode, const Settings& aSettings)
 {
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -27,7 +27,8 @@
   /// If true, replicas of instances that are not in mInstances may join as well.
   bool mOpenMembership = false;
   /// With an open membership, a voter that has not replied for this long is removed if more than
-  /// mMinVoters voters exist.
+  /// mMinVoters voters exist. If another replica can take its place, it is removed after an
+  /// election timeout.
   Base::Duration mVoterRemovalTimeout = std::chrono::seconds(5);
   size_t mMinVoters = 3;
   /// Further replicas stay learners, because each voter makes every commit more expensive.
@@ -86,6 +87,8 @@
   uint64_t mHeartbeatRound = 0;
   Base::TimePoint mLastReply;
   Base::TimePoint mLastSent;
+  /// True if the replica is about to stop.
+  bool mLeaving = false;
   /// Index of the snapshot that is being sent, or 0 if there is none.
   LogIndex mSnapshotIndex = 0;
   uint64_t mSnapshotOffset = 0;
@@ -134,6 +137,8 @@
   std::optional<Base::TimePoint> mLastLeaderContact;
   std::set<StorageId> mVotes;
   bool mHandedOver = false;
+  /// True if this replica is about to stop and asks the leader to replace it.
+  bool mLeaving = false;
 
   std::map<StorageId, Progress> mProgress;
   LogIndex mTermStartIndex = 0;
@@ -221,6 +226,15 @@
 Output
 TransferLeadership(Node& aNode, const Context& aContext);
 
+/// Announces to the leader that this replica is about to stop, so that a learner takes its place.
+void
+StartLeaving(Node& aNode, const Context& aContext);
+
+/// \return true if this replica is a voter that the leader removes once it knows that the replica
+/// is about to stop. The process should then keep running until it is notified of the removal.
+bool
+AwaitsRemoval(const Node& aNode, const Settings& aSettings);
+
 /// \return true if at least Settings::mSnapshotInterval entries were applied since the last
 /// snapshot.
 bool
--- a/src/libs/consensus/replication.cpp
+++ b/src/libs/consensus/replication.cpp
@@ -192,6 +192,7 @@
   Progress& progress = found->second;
   const lw::consensus::AppendReply& reply = aMessage.append_reply();
   progress.mLastReply = aContext.mNow;
+  progress.mLeaving = reply.leaving();
   progress.mHeartbeatRound = std::max(progress.mHeartbeatRound, reply.round());
   if (!reply.matched()) {
     if (progress.mSnapshotIndex == 0) {
@@ -224,6 +225,7 @@
   reply->set_matched(true);
   reply->set_synced_index(std::min(aNode.mMatchedIndex, aNode.mSyncedIndex));
   reply->set_round(aNode.mLeaderHeartbeatRound);
+  reply->set_leaving(aNode.mLeaving);
   aOutput.mMessages.push_back(std::move(message));
 }
 
--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -18,7 +18,8 @@
 /// A quarter of the default heartbeat interval.
 constexpr milliseconds kTickInterval{ 25 };
 constexpr milliseconds kReleaseInterval{ 1000 };
-constexpr milliseconds kLeadershipTransferTimeout{ 2000 };
+/// Limits how long a stop waits for another leader and for the removal from the membership.
+constexpr milliseconds kStopTimeout{ 2000 };
 /// Maximum number of messages handled before timers and requests are processed.
 constexpr int kMaxMessagesPerIteration = 256;
 
@@ -192,7 +193,12 @@
       continue;
     }
     if (IsRetirementNotice(*message)) {
-      Rejoin();
+      if (mStopping) {
+        LOG(INFO) << "[control] Left the membership before the stop.";
+        mDone = true;
+      } else {
+        Rejoin();
+      }
       return;
     }
     const Base::TimePoint now = Base::RuntimeClock::now();
@@ -267,7 +273,7 @@
     ReleaseAddresses();
   }
   if (mStopping) {
-    TransferLeadership();
+    AdvanceStop();
   }
 }
 
@@ -307,21 +313,24 @@
 }
 
 void
-LogDriver::TransferLeadership()
+LogDriver::AdvanceStop()
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
+  const Consensus::Context context = Replication::MakeContext(mReplica, now);
   if (mStopDeadline == Base::TimePoint()) {
-    mStopDeadline = now + kLeadershipTransferTimeout;
+    mStopDeadline = now + kStopTimeout;
+    Consensus::StartLeaving(mReplica.mNode, context);
   }
   const bool alone = Consensus::CurrentMembership(mReplica.mNode).replicas_size() <= 1;
-  if (mReplica.mNode.mRole != Consensus::Role::Leader || alone || now >= mStopDeadline) {
+  const bool leads = mReplica.mNode.mRole == Consensus::Role::Leader;
+  const bool awaitsRemoval = Consensus::AwaitsRemoval(mReplica.mNode, mReplica.mSettings);
+  if (alone || now >= mStopDeadline || (!leads && !awaitsRemoval)) {
     mDone = true;
     return;
   }
-  Replication::Perform(
-    mReplica,
-    now,
-    Consensus::TransferLeadership(mReplica.mNode, Replication::MakeContext(mReplica, now)));
+  if (leads) {
+    Replication::Perform(mReplica, now, Consensus::TransferLeadership(mReplica.mNode, context));
+  }
 }
 
 void
--- a/src/libs/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -32,7 +32,8 @@
   /// Opens the data directory and starts the thread.
   absl::Status Start();
 
-  /// Transfers the leadership to another instance and stops the thread.
+  /// Transfers the leadership to another instance, lets a learner take the place of this replica if
+  /// there is one, and stops the thread.
   void Stop();
 
   /// Proposes a change and waits for its outcome.
@@ -87,7 +88,8 @@
   void Tick();
   void ShareReports();
   void ReleaseAddresses();
-  void TransferLeadership();
+  /// Advances a planned stop and ends the loop of the log thread once nothing is left to wait for.
+  void AdvanceStop();
   void Apply(const Consensus::Entry& aEntry);
   void FinishRead(uint64_t aReadId, bool aConfirmed);
   void RejectPendingRequests();
--- a/tests/auto/consensus/fakecluster.cpp
+++ b/tests/auto/consensus/fakecluster.cpp
@@ -98,6 +98,28 @@
   mDisks[aInstance]->Crash();
 }
 
+void
+FakeCluster::Leave(uint32_t aInstance, Base::Duration aBound)
+{
+  Replication::Replica& replica = mProcesses.at(aInstance)->mReplica;
+  const Consensus::StorageId storage = replica.mNode.mHardState.mStorage;
+  Consensus::StartLeaving(replica.mNode, Replication::MakeContext(replica, mNow));
+  const auto hasLeft = [&] {
+    const bool leads = replica.mNode.mRole == Consensus::Role::Leader;
+    if (leads) {
+      Replication::Perform(
+        replica,
+        mNow,
+        Consensus::TransferLeadership(replica.mNode, Replication::MakeContext(replica, mNow)));
+    }
+    const bool removed =
+      Leader() != 0 && Consensus::IsRetired(Consensus::CurrentMembership(Node(Leader())), storage);
+    return removed || (!leads && !Consensus::AwaitsRemoval(replica.mNode, replica.mSettings));
+  };
+  RunUntil(hasLeft, aBound);
+  Crash(aInstance);
+}
+
 bool
 FakeCluster::IsRunning(uint32_t aInstance) const
 {
--- a/tests/auto/consensus/fakecluster.h
+++ b/tests/auto/consensus/fakecluster.h
@@ -26,6 +26,9 @@
   void Start(uint32_t aInstance);
   /// Stops the process and discards unsynced writes.
   void Crash(uint32_t aInstance);
+  /// Announces that the instance is about to stop, and stops it once it has left the membership or
+  /// need not wait for that. Advances the time by at most aBound.
+  void Leave(uint32_t aInstance, Base::Duration aBound);
   bool IsRunning(uint32_t aInstance) const;
   /// Drops all messages to and from the instance.
   void SetIsolated(uint32_t aInstance, bool aIsolated);
--- a/tests/auto/consensus/tst_openmembership.cpp
+++ b/tests/auto/consensus/tst_openmembership.cpp
@@ -28,7 +28,12 @@
 {
   Consensus::Membership mMembership;
   std::map<Base::InstanceId, Consensus::StorageId> mJoining;
+  std::set<uint64_t> mLeaving;
+  /// Replicas that seem to have failed.
   std::set<uint64_t> mSilent;
+  /// Replicas that have been silent for so long that they need no replacement to be removed.
+  std::set<uint64_t> mUnresponsive;
+  std::set<uint64_t> mBehind;
   const std::vector<Base::InstanceId> mNamed{};
 
   void setup() override
@@ -44,10 +49,18 @@
                                             Consensus::StorageId(100),
                                             mNamed,
                                             mJoining,
-                                            [](Consensus::StorageId) { return true; } };
+                                            [this](Consensus::StorageId aStorage) {
+                                              return mBehind.count(aStorage.mValue) == 0;
+                                            } };
     input.mOpenMembership = true;
+    input.mIsLeaving = [this](Consensus::StorageId aStorage) {
+      return mLeaving.count(aStorage.mValue) != 0;
+    };
     input.mIsUnresponsive = [this](Consensus::StorageId aStorage) {
-      return mSilent.count(aStorage.mValue) != 0;
+      return mUnresponsive.count(aStorage.mValue) != 0;
+    };
+    input.mIsSilent = [this, &input](Consensus::StorageId aStorage) {
+      return mSilent.count(aStorage.mValue) != 0 || input.mIsUnresponsive(aStorage);
     };
     input.mMinVoters = 3;
     input.mMaxVoters = aMaxVoters;
@@ -67,19 +80,105 @@
 };
 
 // Guards against a machine at a new address that cannot replace a lost one.
-TEST(OpenMembership, UnnamedInstanceBecomesAVoter)
+TEST(OpenMembership, UnnamedInstanceReplacesALostVoter)
+{
+  mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
+  CHECK_TRUE(Step());
+  CHECK_FALSE(Step());
+  mSilent.insert(200);
+  CHECK_TRUE(Step());
+  CHECK_TRUE(Step());
+  CHECK_TRUE(Consensus::IsVoter(mMembership, Consensus::StorageId(400)));
+  CHECK_TRUE(Consensus::IsRetired(mMembership, Consensus::StorageId(200)));
+  CHECK_FALSE(Step());
+}
+
+// Guards against a quorum of two while a voter stops: the loss of a third machine in this moment
+// would end the configuration for good.
+TEST(OpenMembership, LearnerIsPromotedBeforeAStoppingVoterLeaves)
+{
+  mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
+  mLeaving.insert(200);
+  CHECK_TRUE(Step());
+  CHECK_TRUE(Step());
+  LONGS_EQUAL(4, Voters());
+  CHECK_TRUE(Step());
+  LONGS_EQUAL(3, Voters());
+  CHECK_TRUE(Consensus::IsRetired(mMembership, Consensus::StorageId(200)));
+  CHECK_FALSE(Step());
+}
+
+// Guards against an even number of voters, whose quorum is larger although no more of them may
+// fail: with 4 voters, a stopped one and a lost disk cost the quorum for good.
+TEST(OpenMembership, LearnersBecomeVotersInPairs)
+{
+  mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
+  CHECK_TRUE(Step());
+  CHECK_FALSE(Step());
+  LONGS_EQUAL(3, Voters());
+  mJoining[Base::InstanceId(5)] = Consensus::StorageId(500);
+  mBehind.insert(500);
+  CHECK_TRUE(Step());
+  CHECK_FALSE(Step());
+  LONGS_EQUAL(3, Voters());
+  mBehind.clear();
+  CHECK_TRUE(Step());
+  CHECK_TRUE(Step());
+  LONGS_EQUAL(5, Voters());
+  CHECK_FALSE(Step());
+}
+
+// Guards against a stopped or lost voter that still counts toward the quorum although the quorum is
+// smaller without it.
+TEST(OpenMembership, EvenMembershipReleasesAVoter)
+{
+  for (std::set<uint64_t>* kind : { &mLeaving, &mSilent }) {
+    mMembership.Clear();
+    for (uint32_t instance = 1; instance <= 4; ++instance) {
+      *mMembership.add_replicas() = MakeReplica(instance, true);
+    }
+    *kind = { 200 };
+    CHECK_TRUE(Step());
+    CHECK_TRUE(Consensus::IsRetired(mMembership, Consensus::StorageId(200)));
+    LONGS_EQUAL(3, Voters());
+    CHECK_FALSE(Step());
+    kind->clear();
+  }
+}
+
+// Guards against a quorum of one disk, when a second voter fails before the learner that replaces
+// the first one is a voter.
+TEST(OpenMembership, ReplacementIsCompletedBeforeTheNextOne)
 {
   mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
   CHECK_TRUE(Step());
+  mSilent = { 200, 300 };
+  CHECK_TRUE(Step());
+  LONGS_EQUAL(2, Voters());
   CHECK_TRUE(Step());
+  LONGS_EQUAL(3, Voters());
   CHECK_TRUE(Consensus::IsVoter(mMembership, Consensus::StorageId(400)));
   CHECK_FALSE(Step());
 }
 
+// Guards against removing a voter that restarts or is slow for a moment while nothing can take its
+// place.
+TEST(OpenMembership, VoterStaysWithoutAReplacement)
+{
+  mLeaving.insert(200);
+  mSilent.insert(300);
+  CHECK_FALSE(Step());
+  mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
+  mBehind.insert(400);
+  CHECK_TRUE(Step());
+  CHECK_FALSE(Step());
+  LONGS_EQUAL(3, Voters());
+}
+
 // Guards against a lost machine that still counts toward the quorum after it was replaced.
 TEST(OpenMembership, SilentVoterIsRemovedOnceItIsReplaced)
 {
-  mSilent.insert(200);
+  mUnresponsive.insert(200);
   CHECK_FALSE(Step());
   mJoining[Base::InstanceId(4)] = Consensus::StorageId(400);
   CHECK_TRUE(Step());
@@ -93,7 +192,7 @@
 // Guards against removing voters until a single disk forms the quorum.
 TEST(OpenMembership, NoVoterIsRemovedBelowTheMinimum)
 {
-  mSilent = { 200, 300 };
+  mUnresponsive = { 200, 300 };
   CHECK_FALSE(Step());
   LONGS_EQUAL(3, Voters());
 }
--- a/tests/auto/consensus/tst_replacement.cpp
+++ b/tests/auto/consensus/tst_replacement.cpp
@@ -203,3 +203,74 @@
   RequireAcknowledged(cluster, 10);
   RequireConverged(cluster);
 }
+
+namespace {
+
+/// How long a machine that is lost or new may take to hold all data again.
+constexpr milliseconds kCatchUpTime = seconds(4);
+/// How long a machine that lost its disk is down.
+constexpr milliseconds kDownTime = seconds(3);
+constexpr milliseconds kStopBound = seconds(2);
+
+/// Removal of a machine and the later loss of another machine's disk.
+struct LossAfterReplacement
+{
+  bool mLeaderIsRemoved = false;
+  /// If true, the removed machine stops without a signal.
+  bool mCrashes = false;
+  /// Start of the replacement after the removal; negative if it starts before.
+  milliseconds mReplacementDelay{ 0 };
+};
+
+} // namespace
+
+// Guards against a removed machine that still counts toward the quorum when its replacement has
+// caught up. The disk loss of any other machine would then end the configuration for good.
+TEST(Replacement, DiskIsLostAfterAReplacementAtANewAddress)
+{
+  const std::vector<LossAfterReplacement> cases = {
+    { false, false, seconds(-2) },         { true, false, seconds(-2) },
+    { false, false, milliseconds(-4500) }, { true, false, milliseconds(-4500) },
+    { false, true, seconds(1) },           { true, true, seconds(1) },
+    { false, true, seconds(0) },           { true, true, seconds(0) },
+  };
+  for (const LossAfterReplacement& item : cases) {
+    for (uint32_t victim = 0; victim < 3; ++victim) {
+      FakeCluster cluster(victim + 3, 4);
+      cluster.mSettings.mInstances.resize(3);
+      cluster.mSettings.mOpenMembership = true;
+      FormCluster(cluster, 3);
+      RequireAcknowledged(cluster, 10);
+      const uint32_t leader = cluster.Leader();
+      const uint32_t removed = item.mLeaderIsRemoved ? leader : leader % 3 + 1;
+      milliseconds sinceStart(0);
+      if (item.mReplacementDelay < milliseconds(0)) {
+        cluster.Start(4);
+        cluster.Run(-item.mReplacementDelay);
+        sinceStart = -item.mReplacementDelay;
+      }
+      if (item.mCrashes) {
+        cluster.Crash(removed);
+        cluster.Run(item.mReplacementDelay);
+        cluster.Start(4);
+      } else {
+        cluster.Leave(removed, kStopBound);
+      }
+      cluster.Run(std::max(milliseconds(0), kCatchUpTime - sinceStart));
+      RequireAcknowledged(cluster, 1);
+      std::vector<uint32_t> others;
+      for (uint32_t instance = 1; instance <= 4; ++instance) {
+        if (instance != removed) {
+          others.push_back(instance);
+        }
+      }
+      const uint32_t wiped = others[victim];
+      LoseWithDisk(cluster, wiped);
+      cluster.Run(kDownTime);
+      cluster.Start(wiped);
+      cluster.Run(kCatchUpTime);
+      RequireAcknowledged(cluster, 1);
+      RequireConverged(cluster);
+    }
+  }
+}
