--- a/src/libs/eventlog/line.cpp
+++ b/src/libs/eventlog/line.cpp
@@ -1,6 +1,7 @@
 #include "eventlog/line.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -8,13 +9,8 @@
 
 namespace {
 
-std::string
-QuoteJson(absl::string_view aText)
-{
-  // External names and texts may contain arbitrary bytes; invalid UTF-8 is replaced.
-  return nlohmann::json(std::string(aText))
-    .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
-}
+/// A longer value is cut, because it may quote received data of any size.
+constexpr size_t kMaxValueBytes = 1024;
 
 } // namespace
 
@@ -26,7 +22,8 @@
 Line&
 Line::Add(absl::string_view aName, absl::string_view aValue)
 {
-  absl::StrAppend(&mFields, ",\"", aName, "\":", QuoteJson(aValue));
+  absl::StrAppend(
+    &mFields, ",\"", aName, "\":", Base::DumpJson(std::string(aValue.substr(0, kMaxValueBytes))));
   return *this;
 }
 
--- a/src/tools/burn/historyfile.cpp
+++ b/src/tools/burn/historyfile.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "base/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,7 +53,7 @@
       const nlohmann::json line = { { "time", time.count() },
                                     { "instance", instance },
                                     { "values", values } };
-      absl::StrAppend(&text, line.dump(), "\n");
+      absl::StrAppend(&text, Base::DumpJson(line), "\n");
     }
   }
   return text;
--- a/src/tools/burn/main.cpp
+++ b/src/tools/burn/main.cpp
@@ -1,3 +1,4 @@
+#include "base/jsontext.h"
 #include "burn/burnrate.h"
 #include "burn/burnsettings.h"
 #include "burn/countersource.h"
@@ -16,6 +17,9 @@
 
 using BurnTool::BurnSettings;
 
+/// Spaces for each level of the JSON report.
+constexpr int kReportIndent = 2;
+
 std::vector<Burn::Series>
 AllSelectors(const BurnSettings& aSettings)
 {
@@ -84,7 +88,8 @@
 {
   absl::Status status;
   if (!aSettings.mJsonPath.empty()) {
-    status = BurnTool::ReplaceFile(aSettings.mJsonPath, Burn::ToJson(aReport).dump(2) + "\n");
+    status = BurnTool::ReplaceFile(aSettings.mJsonPath,
+                                   Base::DumpJson(Burn::ToJson(aReport), kReportIndent) + "\n");
   }
   if (status.ok() && !aSettings.mHtmlPath.empty()) {
     status = BurnTool::ReplaceFile(aSettings.mHtmlPath, Burn::ToHtml(aReport));
--- a/tests/auto/eventlog/tst_log.cpp
+++ b/tests/auto/eventlog/tst_log.cpp
@@ -55,6 +55,18 @@
   }
 };
 
+// Guards against a received text that fills the buffer of the log.
+TEST(Log, LongValuesAreCut)
+{
+  constexpr size_t kMaxLineBytes = 2048;
+  EventLog::Log log(Settings(size_t{ 256 } * 1024, 100));
+  log.Add(EventLog::Line("refused").Add("reason", std::string(1024 * 1024, 'a')), mNow);
+  log.Flush(mNow);
+  const std::vector<nlohmann::json> lines = Read();
+  LONGS_EQUAL(1, lines.size());
+  CHECK_TRUE(lines[0].dump().size() < kMaxLineBytes);
+}
+
 // Guards against invalid JSON when a text contains quotes, control characters or invalid UTF-8.
 TEST(Log, EachLineIsAJsonObject)
 {
