Refuse settings with a number that no type can hold

A settings file with a number such as 1e400 ended the process at its start and at a reload: only syntax errors of the JSON library were caught, and this is another kind of exception. tst_reader has the number as a row; the file is refused with the library's reason now.

--- a/src/libs/settings/reader.cpp
+++ b/src/libs/settings/reader.cpp
@@ -36,6 +36,9 @@
   } catch (const nlohmann::json::parse_error& error) {
     return absl::InvalidArgumentError(
       absl::StrCat("settings are not valid JSON at byte ", error.byte, ": ", error.what()));
+  } catch (const nlohmann::json::exception& error) {
+    // A number that no type can hold is valid JSON.
+    return absl::InvalidArgumentError(absl::StrCat("settings cannot be read: ", error.what()));
   }
   if (!document->mRoot.is_object()) {
     return absl::InvalidArgumentError("settings must be a JSON object");
--- a/tests/auto/settings/tst_reader.cpp
+++ b/tests/auto/settings/tst_reader.cpp
@@ -55,6 +55,10 @@
     { "wrong type",
       R"({"name":1,"count":3,"listen":"127.0.0.1:1","items":[]})",
       "setting \"name\" must be a string" },
+    { "number that no type can hold",
+      R"({"name":"a","count":1e400})",
+      "settings cannot be read: [json.exception.out_of_range.406] number overflow parsing "
+      "'1e400'" },
     { "out of range",
       R"({"name":"a","count":11,"listen":"127.0.0.1:1","items":[]})",
       "setting \"count\" must be from 1 to 10" },
