Pin a flow to its upstream when several may have got its opening packet

Cause: a copy of an opening packet goes to another upstream, so two upstreams can answer. Each answer replaces the tag that the caller returns, and the upstream that is not acknowledged repeats its answer for seconds. Only the record of the flow at the entry instance that saw the handshake corrects the tag, and it was removed after 3 s without a request in progress, as if the flow were closed. A flow that moves to another instance had the same fault.

Change: the instance that sees the handshake pins such a flow (addresses, opening sequence number, tag) for 60 s, the longest life of a flow, and sends the pin to the other instances of the availability zone with its load reports. An instance that starts gets the pins again. Corrected packets are logged and counted as "retagged".

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds kReleaseInterval{ 10 };
 /// Limits the load reports that are handled at once, so that packets are not delayed.
 constexpr int kMaxReportsPerWakeup = 32;
-constexpr size_t kMaxReportBytes = 8192;
+constexpr size_t kMaxReportBytes = 16384;
 
 int64_t
 Milliseconds(Base::Duration aDuration)
@@ -56,6 +56,7 @@
   , mReleaseTimer(aContext)
 {
   mState.mRandom.mState = aSettings.mSeed;
+  mState.mPins.mSelf = aSettings.mLoadReportListen.mAddress;
   mIncarnation = Base::NextRandom(mState.mRandom);
   for (size_t i = 0; i < mDecisionCounters.size(); ++i) {
     const char* reason = Steering::ToString(static_cast<Steering::Reason>(i));
@@ -265,7 +266,7 @@
 EntryNode::SendReports()
 {
   const Base::Duration interval = Steering::ReportInterval(mPeers.size());
-  lw::fleet::LoadReport report = Steering::MakeReport(mState.mLoads, Base::RuntimeClock::now());
+  lw::fleet::LoadReport report = Steering::MakePeerReport(mState, Base::RuntimeClock::now());
   report.set_interval_ms(static_cast<uint32_t>(Milliseconds(interval)));
   report.set_instance(mSettings.mLoadReportListen.mAddress);
   report.set_incarnation(mIncarnation);
@@ -308,7 +309,7 @@
     const bool valid = report.ParseFromArray(bytes.data(), static_cast<int>(size)) &&
                        report.instance() == sender.address().to_v4().to_uint();
     if (valid) {
-      Steering::ApplyLoadReport(mState.mReports, mState.mLoads, report, Base::RuntimeClock::now());
+      Steering::ApplyPeerReport(mState, report, Base::RuntimeClock::now());
     } else {
       mMetrics.CounterFor("load_reports_malformed_total").Add();
     }
--- /dev/null
+++ b/src/libs/steering/flowpins.cpp
@@ -0,0 +1,144 @@
+#include "steering/flowpins.h"
+
+#include <chrono>
+
+namespace Steering {
+
+namespace {
+
+/// Callers and upstreams may discard older flows.
+constexpr std::chrono::seconds kPinLifetime{ 60 };
+/// Reports are datagrams, so each pin is in several of them.
+constexpr int kReportsPerPin = 3;
+/// Keeps a report small enough for a datagram.
+constexpr int kMaxPinsPerReport = 64;
+/// Upper bound of the bytes that a caller sends on a flow within its lifetime.
+constexpr uint32_t kMaxFlowBytes = uint32_t{ 64 } * 1024 * 1024;
+
+void
+Schedule(FlowPins& aPins, const FlowKey& aFlow)
+{
+  if (aPins.mPending.size() >= kMaxPins) {
+    aPins.mPending.pop_front();
+  }
+  aPins.mPending.push_back({ aFlow, kReportsPerPin });
+}
+
+void
+RemoveOldest(FlowPins& aPins)
+{
+  const FlowPins::Expiry& oldest = aPins.mExpiries.front();
+  const auto pin = aPins.mByFlow.find(oldest.mFlow);
+  // A later flow with the same addresses has an expiry of its own.
+  if (pin != aPins.mByFlow.end() && pin->second.mPinnedAt == oldest.mPinnedAt) {
+    aPins.mByFlow.erase(pin);
+  }
+  aPins.mExpiries.pop_front();
+}
+
+void
+Store(FlowPins& aPins, const FlowKey& aFlow, const FlowPin& aPin)
+{
+  if (aPins.mExpiries.size() >= kMaxPins) {
+    RemoveOldest(aPins);
+  }
+  aPins.mByFlow[aFlow] = aPin;
+  aPins.mExpiries.push_back({ aFlow, aPin.mPinnedAt });
+}
+
+FlowKey
+FlowOf(const lw::fleet::FlowPin& aPin)
+{
+  return { { aPin.caller_address(), static_cast<uint16_t>(aPin.caller_port()) },
+           { aPin.service_address(), static_cast<uint16_t>(aPin.service_port()) } };
+}
+
+void
+AddToReport(const FlowKey& aFlow, const FlowPin& aPin, lw::fleet::LoadReport& aReport)
+{
+  lw::fleet::FlowPin* pin = aReport.add_pins();
+  pin->set_caller_address(aFlow.mCaller.mAddress);
+  pin->set_caller_port(aFlow.mCaller.mPort);
+  pin->set_service_address(aFlow.mService.mAddress);
+  pin->set_service_port(aFlow.mService.mPort);
+  pin->set_tag(aPin.mTag.mValue);
+  pin->set_sequence(aPin.mSequence);
+  pin->set_origin(aPin.mOrigin);
+}
+
+} // namespace
+
+void
+PinFlow(FlowPins& aPins,
+        const FlowKey& aFlow,
+        uint32_t aOpeningSequence,
+        Directory::RouteTag aTag,
+        Base::TimePoint aNow)
+{
+  Store(aPins, aFlow, { aTag, aOpeningSequence, aPins.mSelf, aNow });
+  Schedule(aPins, aFlow);
+}
+
+std::optional<Directory::RouteTag>
+PinnedTag(const FlowPins& aPins, const FlowKey& aFlow, uint32_t aSequence)
+{
+  const auto pin = aPins.mByFlow.find(aFlow);
+  if (pin == aPins.mByFlow.end() || aSequence - pin->second.mSequence > kMaxFlowBytes) {
+    return std::nullopt;
+  }
+  return pin->second.mTag;
+}
+
+void
+AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport)
+{
+  size_t left = aPins.mPending.size();
+  while (left > 0 && aReport.pins_size() < kMaxPinsPerReport) {
+    --left;
+    FlowPins::Pending pending = aPins.mPending.front();
+    aPins.mPending.pop_front();
+    const auto pin = aPins.mByFlow.find(pending.mFlow);
+    if (pin == aPins.mByFlow.end()) {
+      continue;
+    }
+    AddToReport(pending.mFlow, pin->second, aReport);
+    if (--pending.mReportsLeft > 0) {
+      aPins.mPending.push_back(pending);
+    }
+  }
+}
+
+void
+ApplyPins(FlowPins& aPins, const lw::fleet::LoadReport& aReport, Base::TimePoint aNow)
+{
+  for (const lw::fleet::FlowPin& reported : aReport.pins()) {
+    const FlowKey flow = FlowOf(reported);
+    const auto known = aPins.mByFlow.find(flow);
+    if (known == aPins.mByFlow.end() || known->second.mSequence != reported.sequence()) {
+      const Directory::RouteTag tag(reported.tag());
+      Store(aPins, flow, { tag, reported.sequence(), reported.origin(), aNow });
+    }
+  }
+}
+
+void
+SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports)
+{
+  for (const auto& [flow, pin] : aPins.mByFlow) {
+    const bool originSendsIt = pin.mOrigin != aPins.mSelf && pin.mOrigin != aPeer &&
+                               aReports.mByInstance.count(pin.mOrigin) != 0;
+    if (!originSendsIt) {
+      Schedule(aPins, flow);
+    }
+  }
+}
+
+void
+ExpirePins(FlowPins& aPins, Base::TimePoint aNow)
+{
+  while (!aPins.mExpiries.empty() && aNow - aPins.mExpiries.front().mPinnedAt > kPinLifetime) {
+    RemoveOldest(aPins);
+  }
+}
+
+} // namespace Steering
--- /dev/null
+++ b/src/libs/steering/flowpins.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "steering/flowtable.h"
+#include "steering/loadreports.h"
+
+#include "fleet.pb.h"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace Steering {
+
+/// The upstream of an open flow whose opening packet may have reached several upstreams.
+struct FlowPin
+{
+  Directory::RouteTag mTag;
+  /// Sequence number of the opening packet. It distinguishes a later flow with the same addresses.
+  uint32_t mSequence = 0;
+  /// Instance that saw the flow open.
+  uint32_t mOrigin = 0;
+  Base::TimePoint mPinnedAt;
+};
+
+/// Pins of the flows in an availability zone. The tag in a caller's packet names the upstream that
+/// answered last. That is not the one that holds the flow if another upstream answered a copy of
+/// the opening packet late, and only the instance that saw the handshake can tell.
+///
+/// Every entry instance of the zone has all pins, because the fabric moves flows between instances.
+/// At most kMaxPins, oldest discarded first; each is kept for kPinLifetime. After a restart, the
+/// peers send the pins again.
+struct FlowPins
+{
+  struct Expiry
+  {
+    FlowKey mFlow;
+    Base::TimePoint mPinnedAt;
+  };
+  struct Pending
+  {
+    FlowKey mFlow;
+    int mReportsLeft = 0;
+  };
+  /// This instance.
+  uint32_t mSelf = 0;
+  std::unordered_map<FlowKey, FlowPin, FlowKeyHash> mByFlow;
+  /// All pins in the order of their expiry.
+  std::deque<Expiry> mExpiries;
+  /// Pins to be included in the next reports to the peers.
+  std::deque<Pending> mPending;
+};
+
+constexpr size_t kMaxPins = 20000;
+
+/// Pins a flow that this instance saw open, and schedules the pin for the reports to the peers.
+void
+PinFlow(FlowPins& aPins,
+        const FlowKey& aFlow,
+        uint32_t aOpeningSequence,
+        Directory::RouteTag aTag,
+        Base::TimePoint aNow);
+
+/// \param aSequence is the sequence number of a packet of the flow.
+/// \return the tag of the upstream that holds the flow, or std::nullopt if the flow is not pinned.
+std::optional<Directory::RouteTag>
+PinnedTag(const FlowPins& aPins, const FlowKey& aFlow, uint32_t aSequence);
+
+/// Moves scheduled pins to a report, as many as fit.
+void
+AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport);
+
+/// Stores the pins of a peer's report.
+void
+ApplyPins(FlowPins& aPins, const lw::fleet::LoadReport& aReport, Base::TimePoint aNow);
+
+/// Schedules the pins that a peer without any needs from this instance: those made here, those that
+/// the peer itself made before it restarted, and those of instances that no longer send reports.
+void
+SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports);
+
+void
+ExpirePins(FlowPins& aPins, Base::TimePoint aNow);
+
+} // namespace Steering
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -45,6 +45,8 @@
   /// When the caller sent its latest request or completed the handshake.
   Base::TimePoint mRequestAt;
   std::vector<Directory::RouteTag> mTriedUpstreams;
+  /// True if another instance may have forwarded an earlier copy of the opening packet.
+  bool mTriedElsewhere = false;
   /// Sequence number of the opening packet. An opening packet with the same addresses but another
   /// sequence number opens a new flow.
   uint32_t mSequence = 0;
--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -71,7 +71,7 @@
   return report;
 }
 
-void
+bool
 ApplyLoadReport(PeerReports& aReports,
                 LoadTable& aTable,
                 const lw::fleet::LoadReport& aReport,
@@ -79,15 +79,17 @@
 {
   const auto [known, added] = aReports.mByInstance.try_emplace(aReport.instance());
   PeerReports::Entry& entry = known->second;
+  const bool sameIncarnation = !added && entry.mReport.incarnation() == aReport.incarnation();
   if (!added) {
-    const bool sameIncarnation = entry.mReport.incarnation() == aReport.incarnation();
     if (sameIncarnation && entry.mReport.sequence() >= aReport.sequence()) {
-      return;
+      return false;
     }
     UpdatePeerLoads(aTable, entry.mReport, LoadUpdate::Remove);
   }
   entry = { aReport, aNow };
+  entry.mReport.clear_pins();
   UpdatePeerLoads(aTable, aReport, LoadUpdate::Add);
+  return !sameIncarnation;
 }
 
 void
--- a/src/libs/steering/loadreports.h
+++ b/src/libs/steering/loadreports.h
@@ -32,7 +32,8 @@
 
 /// Replaces the peer's previous report and updates the peer loads in aTable. Ignores the report if
 /// it is not newer than the previous one of the same incarnation.
-void
+/// \return true if there was no previous report of the same incarnation.
+bool
 ApplyLoadReport(PeerReports& aReports,
                 LoadTable& aTable,
                 const lw::fleet::LoadReport& aReport,
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -287,6 +287,7 @@
   flow.mRouteVersion = aState.mRoutes.mVersion;
   flow.mSequence = aPacket.mSequence;
   flow.mOpenedAt = aNow - aPacket.mAge;
+  flow.mTriedElsewhere = aPacket.mAge > Base::Duration::zero();
   flow.mLastPacketAt = aNow;
   const Decision decision = AssignOrHold(aState, aSettings, flow, aPacket, Reason::NewFlow, aNow);
   if (decision.mAction == Action::Forward || decision.mAction == Action::Hold) {
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -18,8 +18,39 @@
 /// time. A round trip through a remote availability zone takes only a few milliseconds.
 constexpr milliseconds kAnswerTimeout{ 80 };
 constexpr seconds kFlowRecordLifetime{ 60 };
-/// Time for which the record of a closed flow is kept, for retransmitted packets.
-constexpr seconds kClosedFlowLifetime{ 3 };
+/// Time for which the record of a flow without a request in progress is kept, for retransmitted
+/// packets. The flow may still be open: its later packets are forwarded by their tag or its pin.
+constexpr seconds kIdleRecordLifetime{ 3 };
+
+/// \return true if several upstreams may have received the opening packet of the flow.
+bool
+IsContested(const Flow& aFlow)
+{
+  return aFlow.mTriedUpstreams.size() > 1 || aFlow.mTriedElsewhere;
+}
+
+/// Records that the caller has completed the handshake with the upstream that holds the flow.
+void
+ConfirmFlow(State& aState, const Packet& aPacket, Flow& aFlow, Base::TimePoint aNow)
+{
+  const std::optional<Directory::RouteTag> pinned =
+    PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence);
+  const Directory::RouteTag tag = pinned.value_or(aPacket.mTag);
+  aFlow.mConfirmed = true;
+  aFlow.mHeld = false;
+  if (aFlow.mTag != tag) {
+    RemoveFromLoad(aState.mLoads, aFlow);
+    aFlow.mTag = tag;
+  }
+  if (!pinned.has_value() && IsContested(aFlow)) {
+    PinFlow(aState.mPins, aPacket.mFlow, aFlow.mSequence, tag, aNow);
+  }
+  RecordAnswer(aState.mLoads.mByTag[aFlow.mTag], aNow);
+  if (!aFlow.mRemoteZone.empty()) {
+    RecordAnswer(aState.mLoads.mByRemoteZone[aFlow.mRemoteZone], aNow);
+  }
+  StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, aFlow, aNow);
+}
 
 /// Updates the record of the flow, if this instance has one.
 /// \param aHandshake receives the duration of the handshake if the packet completes it.
@@ -32,23 +63,13 @@
 {
   const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
   if (found == aState.mFlows.mFlows.end()) {
-    return aPacket.mTag;
+    return PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
   }
   Flow& flow = found->second;
   flow.mLastPacketAt = aNow;
   if (!flow.mConfirmed && aPacket.mKind != PacketKind::Abort) {
-    flow.mConfirmed = true;
-    flow.mHeld = false;
     aHandshake = aNow - flow.mOpenedAt;
-    if (flow.mTag != aPacket.mTag) {
-      RemoveFromLoad(aState.mLoads, flow);
-      flow.mTag = aPacket.mTag;
-    }
-    RecordAnswer(aState.mLoads.mByTag[flow.mTag], aNow);
-    if (!flow.mRemoteZone.empty()) {
-      RecordAnswer(aState.mLoads.mByRemoteZone[flow.mRemoteZone], aNow);
-    }
-    StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
+    ConfirmFlow(aState, aPacket, flow, aNow);
   }
   const bool closesUnused = aPacket.mKind == PacketKind::Closing && !flow.mHasSentData;
   if (aPacket.mKind == PacketKind::Abort || closesUnused) {
@@ -101,7 +122,8 @@
     decision.mAction = aPacket.mKind == PacketKind::Abort ? Action::Drop : Action::Reset;
     return decision;
   }
-  Decision decision = ForwardTo(aState, *upstream, Reason::Tagged, aNow);
+  const Reason reason = tag == aPacket.mTag ? Reason::Tagged : Reason::Retagged;
+  Decision decision = ForwardTo(aState, *upstream, reason, aNow);
   decision.mHandshake = handshake;
   return decision;
 }
@@ -140,6 +162,8 @@
       return "overloaded";
     case Reason::Tagged:
       return "tagged";
+    case Reason::Retagged:
+      return "retagged";
     case Reason::NoRoute:
       return "no_route";
     case Reason::NoUpstream:
@@ -187,6 +211,24 @@
   return aReply.has_routes() && Update(aState.mRoutes, aReply.routes());
 }
 
+lw::fleet::LoadReport
+MakePeerReport(State& aState, Base::TimePoint aNow)
+{
+  lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
+  AddPendingPins(aState.mPins, report);
+  return report;
+}
+
+void
+ApplyPeerReport(State& aState, const lw::fleet::LoadReport& aReport, Base::TimePoint aNow)
+{
+  ApplyPins(aState.mPins, aReport, aNow);
+  if (ApplyLoadReport(aState.mReports, aState.mLoads, aReport, aNow)) {
+    // The peer has just started or was out of reach, so it may lack pins.
+    SchedulePinsFor(aState.mPins, aReport.instance(), aState.mReports);
+  }
+}
+
 void
 Expire(State& aState, Base::TimePoint aNow)
 {
@@ -197,10 +239,11 @@
     if (!flow.mConfirmed && !flow.mHeld && aNow - flow.mForwardedAt > kAnswerTimeout) {
       RecordUnansweredOpening(aState, flow, aNow);
     }
-    const bool closed = flow.mConfirmed && !flow.mCountedInLoad && silence > kClosedFlowLifetime;
-    item = closed || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
+    const bool idle = flow.mConfirmed && !flow.mCountedInLoad && silence > kIdleRecordLifetime;
+    item = idle || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
   }
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  ExpirePins(aState.mPins, aNow);
   ExpireReports(aState.mReports, aState.mLoads, aNow);
   RemoveUnusedLoads(aState.mLoads, aNow);
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -4,6 +4,7 @@
 #include "directory/mergeddirectory.h"
 #include "steering/choice.h"
 #include "steering/flowload.h"
+#include "steering/flowpins.h"
 #include "steering/flowtable.h"
 #include "steering/loadreports.h"
 #include "steering/loadtable.h"
@@ -69,6 +70,8 @@
   /// The flow would be held until its caller has ended the attempt.
   Overloaded,
   Tagged,
+  /// The packet carries the tag of another upstream, which answered the opening packet late.
+  Retagged,
   NoRoute,
   NoUpstream,
   NotStarted,
@@ -123,6 +126,7 @@
   RouteTable mRoutes;
   Directory::MergedDirectory mDirectory;
   FlowTable mFlows;
+  FlowPins mPins;
   RequestTable mRequests;
   LoadTable mLoads;
   PeerReports mReports;
@@ -155,6 +159,15 @@
                const lw::fleet::PollReply& aReply,
                Base::TimePoint aNow);
 
+/// \return a report of this instance's flows and pins for its peers. The caller adds the sender,
+/// the sequence number and the interval.
+lw::fleet::LoadReport
+MakePeerReport(State& aState, Base::TimePoint aNow);
+
+/// Applies the report of a peer in the same availability zone.
+void
+ApplyPeerReport(State& aState, const lw::fleet::LoadReport& aReport, Base::TimePoint aNow);
+
 /// \return true if opening packets are held, so that ReleaseOpenings should be called soon.
 bool
 HasHeldOpenings(const State& aState);
@@ -164,8 +177,8 @@
 std::vector<ReleasedOpening>
 ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow);
 
-/// Expires idle flows, load reports and upstreams, and records unanswered opening packets. To be
-/// called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
+/// Expires idle flows, pins, load reports and upstreams, and records unanswered opening packets. To
+/// be called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
 void
 Expire(State& aState, Base::TimePoint aNow);
 
--- a/tests/auto/steering/fleetmodel.h
+++ b/tests/auto/steering/fleetmodel.h
@@ -24,7 +24,9 @@
   /// An entry instance accepts routes with a lower version than the one in force.
   AcceptOlderRoutes,
   /// A poller keeps its position in the directory of a control instance that has restarted.
-  KeepPositionAfterRestart
+  KeepPositionAfterRestart,
+  /// Entry instances do not tell each other which upstream holds a flow.
+  KeepPinsToThemselves
 };
 
 /// Simulates a fleet with the production code of the directory and steering libraries: three
@@ -78,6 +80,9 @@
     Base::TimePoint mDisconnectedUntil;
     Base::TimePoint mLastFaultAt;
     uint64_t mHighestVersion = 0;
+    uint64_t mIncarnation = 0;
+    uint64_t mReports = 0;
+    Base::TimePoint mNextReport;
   };
 
   struct Flow
@@ -94,6 +99,11 @@
     /// missed another upstream that used the address in between. A reset of the flow by a stable
     /// instance is allowed then.
     bool mOpenedWhileUnstable = false;
+    uint32_t mSequence = 0;
+    /// Tag of another upstream that answers a copy of the opening packet at mLateAnswerAt. Packets
+    /// after that may carry it.
+    Directory::RouteTag mLateTag{};
+    Base::TimePoint mLateAnswerAt = Base::TimePoint::max();
   };
 
   struct Message
@@ -125,8 +135,14 @@
   void Poll(size_t aEntry);
   void Deliver(const Reply& aReply);
   void OpenFlow();
+  /// Sends a copy of the opening packet, which another upstream accepts as well.
+  void SendCopy(Entry& aEntry, Steering::Packet aPacket, Flow& aFlow);
+  void SendReports();
+  /// Cancels late answers that come before the flow is known to all entry instances.
+  void CancelLateAnswers();
   void SendPacket(const Flow& aFlow);
   void RestartEntry(Entry& aEntry);
+  uint32_t InstanceOf(const Entry& aEntry) const;
   /// \return the index of the live upstream that receives the datagram, or -1.
   int ReceiverOf(const Steering::Decision& aDecision) const;
   /// \return true if neither the entry instance nor a control instance had a fault recently.
--- a/tests/auto/steering/fleetmodelflows.cpp
+++ b/tests/auto/steering/fleetmodelflows.cpp
@@ -12,15 +12,29 @@
 constexpr milliseconds kPollInterval{ 375 };
 /// Time after a disconnection or a restart until the guarantees hold again.
 constexpr milliseconds kStabilizationTime{ 4000 };
+constexpr milliseconds kReportInterval{ 100 };
+/// Age of the second copy of an opening packet.
+constexpr milliseconds kCopyAge{ 200 };
+/// Time until a late answer. Several reports are sent before it.
+constexpr milliseconds kLateAnswerDelay{ 1000 };
 
 } // namespace
 
+uint32_t
+FleetModel::InstanceOf(const Entry& aEntry) const
+{
+  return static_cast<uint32_t>(&aEntry - mEntries.data()) + 1;
+}
+
 void
 FleetModel::RestartEntry(Entry& aEntry)
 {
   aEntry = Entry();
+  aEntry.mState.mPins.mSelf = InstanceOf(aEntry);
   aEntry.mState.mRandom.mState = Base::NextRandom(mRandom);
+  aEntry.mIncarnation = Base::NextRandom(mRandom);
   aEntry.mLastFaultAt = mNow;
+  CancelLateAnswers();
 }
 
 void
@@ -39,6 +53,7 @@
     }
     if (RandomEvent(400)) {
       entry.mDisconnectedUntil = mNow + RandomDelay(6000);
+      CancelLateAnswers();
     }
     if (mNow < entry.mDisconnectedUntil) {
       entry.mLastFaultAt = mNow;
@@ -48,6 +63,40 @@
     }
     Steering::Expire(entry.mState, mNow);
   }
+  SendReports();
+}
+
+void
+FleetModel::SendReports()
+{
+  for (size_t from = 0; from < mEntries.size(); ++from) {
+    Entry& sender = mEntries[from];
+    if (mNow < sender.mNextReport || mFault == ModelFault::KeepPinsToThemselves) {
+      continue;
+    }
+    sender.mNextReport = mNow + kReportInterval;
+    lw::fleet::LoadReport report = Steering::MakePeerReport(sender.mState, mNow);
+    report.set_instance(InstanceOf(sender));
+    report.set_incarnation(sender.mIncarnation);
+    report.set_sequence(++sender.mReports);
+    for (size_t to = 0; to < mEntries.size(); ++to) {
+      const bool connected =
+        mNow >= sender.mDisconnectedUntil && mNow >= mEntries[to].mDisconnectedUntil;
+      if (to != from && connected && !RandomEvent(kMillion / 50)) {
+        Steering::ApplyPeerReport(mEntries[to].mState, report, mNow);
+      }
+    }
+  }
+}
+
+void
+FleetModel::CancelLateAnswers()
+{
+  for (Flow& flow : mFlows) {
+    if (mNow < flow.mLateAnswerAt) {
+      flow.mLateAnswerAt = Base::TimePoint::max();
+    }
+  }
 }
 
 void
@@ -175,8 +224,30 @@
     const Directory::Upstream& upstream = mStarts[start].mAnnouncement.mUpstream;
     const bool earlier = decision.mTag != Directory::TagOf(upstream.mId, upstream.mStartedAtMs);
     const bool unstable = earlier && !IsStable(entry);
-    mFlows.push_back(
-      { packet.mFlow, decision.mTag, start, mNow + RandomDelay(20000), earlier, unstable });
+    Flow flow{ packet.mFlow, decision.mTag, start, mNow + RandomDelay(20000), earlier, unstable };
+    flow.mSequence = packet.mSequence;
+    if (RandomEvent(kMillion / 5)) {
+      SendCopy(entry, packet, flow);
+    }
+    packet.mKind = Steering::PacketKind::MidFlow;
+    packet.mTag = flow.mTag;
+    Steering::Steer(entry.mState, mSettings, packet, mNow);
+    mFlows.push_back(flow);
+  }
+}
+
+void
+FleetModel::SendCopy(Entry& aEntry, Steering::Packet aPacket, Flow& aFlow)
+{
+  aPacket.mAge = kCopyAge;
+  const Steering::Decision decision = Steering::Steer(aEntry.mState, mSettings, aPacket, mNow);
+  const bool forwarded = decision.mAction == Steering::Action::Forward;
+  const bool connected = std::all_of(mEntries.begin(), mEntries.end(), [this](const Entry& aItem) {
+    return mNow >= aItem.mDisconnectedUntil;
+  });
+  if (forwarded && connected && ReceiverOf(decision) >= 0) {
+    aFlow.mLateTag = decision.mTag;
+    aFlow.mLateAnswerAt = mNow + kLateAnswerDelay;
   }
 }
 
@@ -188,7 +259,9 @@
   Steering::Packet packet;
   packet.mFlow = aFlow.mKey;
   packet.mKind = Steering::PacketKind::MidFlow;
-  packet.mTag = aFlow.mTag;
+  const bool late = mNow >= aFlow.mLateAnswerAt && IsStable(entry) && RandomEvent(kMillion / 2);
+  packet.mTag = late ? aFlow.mLateTag : aFlow.mTag;
+  packet.mSequence = aFlow.mSequence + 1;
   packet.mCarriesData = true;
   const Steering::Decision decision = Steering::Steer(entry.mState, mSettings, packet, mNow);
   const Start& start = mStarts[aFlow.mStart];
--- a/tests/auto/steering/tst_fleetmodel.cpp
+++ b/tests/auto/steering/tst_fleetmodel.cpp
@@ -18,8 +18,8 @@
 TEST_GROUP(FleetModel){};
 
 // Guards against new flows to a departed upstream, flows that are reset or forwarded to another
-// upstream, and configurations that are late or revert to an older version, under random message
-// delays, losses, disconnections and restarts.
+// upstream, also after a late answer of a second one, and configurations that are late or revert to
+// an older version, under random message delays, losses, disconnections and restarts.
 TEST(FleetModel, KeepsTheGuaranteesInRandomRuns)
 {
   size_t opened = 0;
@@ -50,7 +50,8 @@
                { "the start time is ignored", ModelFault::IgnoreStartTime },
                { "late announcements are accepted", ModelFault::AcceptLateAnnouncements },
                { "older routes are accepted", ModelFault::AcceptOlderRoutes },
-               { "positions are kept after a restart", ModelFault::KeepPositionAfterRestart } };
+               { "positions are kept after a restart", ModelFault::KeepPositionAfterRestart },
+               { "pins are not reported", ModelFault::KeepPinsToThemselves } };
   for (const auto& row : rows) {
     uint64_t found = 0;
     for (uint64_t seed = 1; seed <= kFaultSeeds && found == 0; ++seed) {
