Report a pin only if its flow is still open after 250 ms

Under load, many flows are opened by a copy of the opening packet and closed after one request. A flow that is closed needs no pin at the peers.

--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -8,6 +8,8 @@
 
 /// Callers and upstreams may discard older flows.
 constexpr std::chrono::seconds kPinLifetime{ 60 };
+/// Most flows carry one request and are closed before this, and then need no pin at the peers.
+constexpr std::chrono::milliseconds kReportDelay{ 250 };
 /// Reports are datagrams, so each pin is in several of them.
 constexpr int kReportsPerPin = 3;
 /// Keeps a report small enough for a datagram.
@@ -16,12 +18,12 @@
 constexpr uint32_t kMaxFlowBytes = uint32_t{ 64 } * 1024 * 1024;
 
 void
-Schedule(FlowPins& aPins, const FlowKey& aFlow)
+Schedule(FlowPins& aPins, const FlowKey& aFlow, Base::TimePoint aDueAt)
 {
   if (aPins.mPending.size() >= kMaxPins) {
     aPins.mPending.pop_front();
   }
-  aPins.mPending.push_back({ aFlow, kReportsPerPin });
+  aPins.mPending.push_back({ aFlow, aDueAt, kReportsPerPin });
 }
 
 void
@@ -75,8 +77,8 @@
         Directory::RouteTag aTag,
         Base::TimePoint aNow)
 {
-  Store(aPins, aFlow, { aTag, aOpeningSequence, aPins.mSelf, aNow });
-  Schedule(aPins, aFlow);
+  Store(aPins, aFlow, { aTag, aOpeningSequence, aPins.mSelf, aNow, false });
+  Schedule(aPins, aFlow, aNow + kReportDelay);
 }
 
 std::optional<Directory::RouteTag>
@@ -90,7 +92,16 @@
 }
 
 void
-AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport)
+MarkClosing(FlowPins& aPins, const FlowKey& aFlow)
+{
+  const auto pin = aPins.mByFlow.find(aFlow);
+  if (pin != aPins.mByFlow.end()) {
+    pin->second.mClosing = true;
+  }
+}
+
+void
+AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport, Base::TimePoint aNow)
 {
   size_t left = aPins.mPending.size();
   while (left > 0 && aReport.pins_size() < kMaxPinsPerReport) {
@@ -98,11 +109,14 @@
     FlowPins::Pending pending = aPins.mPending.front();
     aPins.mPending.pop_front();
     const auto pin = aPins.mByFlow.find(pending.mFlow);
-    if (pin == aPins.mByFlow.end()) {
+    if (pin == aPins.mByFlow.end() || pin->second.mClosing) {
       continue;
     }
-    AddToReport(pending.mFlow, pin->second, aReport);
-    if (--pending.mReportsLeft > 0) {
+    if (aNow >= pending.mDueAt) {
+      AddToReport(pending.mFlow, pin->second, aReport);
+      --pending.mReportsLeft;
+    }
+    if (pending.mReportsLeft > 0) {
       aPins.mPending.push_back(pending);
     }
   }
@@ -116,19 +130,19 @@
     const auto known = aPins.mByFlow.find(flow);
     if (known == aPins.mByFlow.end() || known->second.mSequence != reported.sequence()) {
       const Directory::RouteTag tag(reported.tag());
-      Store(aPins, flow, { tag, reported.sequence(), reported.origin(), aNow });
+      Store(aPins, flow, { tag, reported.sequence(), reported.origin(), aNow, false });
     }
   }
 }
 
 void
-SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports)
+SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports, Base::TimePoint aNow)
 {
   for (const auto& [flow, pin] : aPins.mByFlow) {
     const bool originSendsIt = pin.mOrigin != aPins.mSelf && pin.mOrigin != aPeer &&
                                aReports.mByInstance.count(pin.mOrigin) != 0;
     if (!originSendsIt) {
-      Schedule(aPins, flow);
+      Schedule(aPins, flow, aNow);
     }
   }
 }
--- a/src/libs/steering/flowpins.h
+++ b/src/libs/steering/flowpins.h
@@ -20,6 +20,8 @@
   /// Instance that saw the flow open.
   uint32_t mOrigin = 0;
   Base::TimePoint mPinnedAt;
+  /// True if the caller has closed the flow, so that it will not move to another instance.
+  bool mClosing = false;
 };
 
 /// Pins of the flows in an availability zone. The tag in a caller's packet names the upstream that
@@ -39,6 +41,7 @@
   struct Pending
   {
     FlowKey mFlow;
+    Base::TimePoint mDueAt;
     int mReportsLeft = 0;
   };
   /// This instance.
@@ -46,13 +49,14 @@
   std::unordered_map<FlowKey, FlowPin, FlowKeyHash> mByFlow;
   /// All pins in the order of their expiry.
   std::deque<Expiry> mExpiries;
-  /// Pins to be included in the next reports to the peers.
+  /// Pins to be included in later reports to the peers.
   std::deque<Pending> mPending;
 };
 
 constexpr size_t kMaxPins = 20000;
 
-/// Pins a flow that this instance saw open, and schedules the pin for the reports to the peers.
+/// Pins a flow that this instance saw open, and schedules the pin for the reports to the peers. It
+/// is reported only if the flow is still open then.
 void
 PinFlow(FlowPins& aPins,
         const FlowKey& aFlow,
@@ -65,9 +69,13 @@
 std::optional<Directory::RouteTag>
 PinnedTag(const FlowPins& aPins, const FlowKey& aFlow, uint32_t aSequence);
 
-/// Moves scheduled pins to a report, as many as fit.
+/// Records that the caller closes the flow.
 void
-AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport);
+MarkClosing(FlowPins& aPins, const FlowKey& aFlow);
+
+/// Adds scheduled pins to a report, as many as fit.
+void
+AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport, Base::TimePoint aNow);
 
 /// Stores the pins of a peer's report.
 void
@@ -76,7 +84,7 @@
 /// Schedules the pins that a peer without any needs from this instance: those made here, those that
 /// the peer itself made before it restarted, and those of instances that no longer send reports.
 void
-SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports);
+SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports, Base::TimePoint aNow);
 
 void
 ExpirePins(FlowPins& aPins, Base::TimePoint aNow);
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -71,6 +71,10 @@
     aHandshake = aNow - flow.mOpenedAt;
     ConfirmFlow(aState, aPacket, flow, aNow);
   }
+  const bool closes = aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort;
+  if (closes && IsContested(flow)) {
+    MarkClosing(aState.mPins, aPacket.mFlow);
+  }
   const bool closesUnused = aPacket.mKind == PacketKind::Closing && !flow.mHasSentData;
   if (aPacket.mKind == PacketKind::Abort || closesUnused) {
     RemoveFromLoad(aState.mLoads, flow);
@@ -215,7 +219,7 @@
 MakePeerReport(State& aState, Base::TimePoint aNow)
 {
   lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
-  AddPendingPins(aState.mPins, report);
+  AddPendingPins(aState.mPins, report, aNow);
   return report;
 }
 
@@ -225,7 +229,7 @@
   ApplyPins(aState.mPins, aReport, aNow);
   if (ApplyLoadReport(aState.mReports, aState.mLoads, aReport, aNow)) {
     // The peer has just started or was out of reach, so it may lack pins.
-    SchedulePinsFor(aState.mPins, aReport.instance(), aState.mReports);
+    SchedulePinsFor(aState.mPins, aReport.instance(), aState.mReports, aNow);
   }
 }
 
--- a/tests/auto/steering/tst_flowpins.cpp
+++ b/tests/auto/steering/tst_flowpins.cpp
@@ -16,6 +16,8 @@
 constexpr uint32_t kAdded = 3;
 constexpr uint16_t kCallerPort = 1;
 constexpr milliseconds kCopyInterval{ 200 };
+/// Time after which a flow that is still open is reported.
+constexpr milliseconds kReportDelay{ 300 };
 /// Longer than the record of an idle flow is kept, shorter than the idle timeout of flows.
 constexpr seconds kPause{ 4 };
 constexpr seconds kMaxFlowAge{ 60 };
@@ -65,6 +67,7 @@
     Advance(kCopyInterval);
     mOther = mEntry.Send(kCallerPort, PacketKind::Opening).mTag;
     mEntry.Send(kCallerPort, PacketKind::MidFlow, mHolder, true);
+    Advance(kReportDelay);
   }
 
   /// \return the tag of the upstream that gets a packet after the other upstream's late answer.
@@ -235,6 +238,16 @@
   LONGS_EQUAL(0, Steering::MakePeerReport(mEntry.mState, mEntry.mNow).pins_size());
 }
 
+// Guards against reports about flows of one request, which are closed at once. Under load, many of
+// them are opened by a copy.
+TEST(FlowPins, ClosedFlowIsNotReported)
+{
+  OpenTwice();
+  mEntry.Send(kCallerPort, PacketKind::Closing, mHolder);
+  LONGS_EQUAL(0, Steering::MakePeerReport(mEntry.mState, mEntry.mNow).pins_size());
+  CHECK_TRUE(mEntry.Send(kCallerPort, PacketKind::Closing, mOther).mTag == mHolder);
+}
+
 // Guards against pins that use more and more memory.
 TEST(FlowPins, PinsAreBoundedAndExpire)
 {
@@ -257,6 +270,7 @@
     const Steering::FlowKey flow = { { number, 1 }, { 1, 1 } };
     Steering::PinFlow(mEntry.mState.mPins, flow, 0, mEntry.Tag(1), mEntry.mNow);
   }
+  Advance(kReportDelay);
   constexpr size_t kMaxBytes = 4096;
   for (int i = 0; i < 10; ++i) {
     CHECK_TRUE(Report(mEntry, mPeer) <= kMaxBytes);
