--- a/src/libs/consensus/formation.cpp
+++ b/src/libs/consensus/formation.cpp
@@ -1,6 +1,5 @@
 #include "consensus/formation.h"
 
-#include "consensus/replication.h"
 #include "consensus/roles.h"
 
 #include <algorithm>
@@ -157,53 +156,4 @@
   FormClusterIfAllUnformed(aNode, aContext, aOutput);
 }
 
-void
-ProposeMembershipChange(Node& aNode, const Context& aContext, Output& aOutput)
-{
-  const bool changing = aNode.mMemberships.back().mIndex > aNode.mCommitIndex ||
-                        aNode.mCommitIndex < aNode.mTermStartIndex;
-  if (changing) {
-    return;
-  }
-  const auto hasCaughtUp = [&](StorageId aStorage) {
-    const auto found = aNode.mProgress.find(aStorage);
-    return found != aNode.mProgress.end() && found->second.mSyncedIndex >= aNode.mCommitIndex &&
-           aContext.mNow - found->second.mLastReply < aContext.mSettings.mElectionTimeout;
-  };
-  const auto isSilentFor = [&](StorageId aStorage, Base::Duration aTimeout) {
-    const auto found = aNode.mProgress.find(aStorage);
-    return found != aNode.mProgress.end() && aContext.mNow - found->second.mLastReply >= aTimeout;
-  };
-  const auto isSilent = [&](StorageId aStorage) {
-    return isSilentFor(aStorage, aContext.mSettings.mElectionTimeout);
-  };
-  const auto isLeaving = [&](StorageId aStorage) {
-    const auto found = aNode.mProgress.find(aStorage);
-    return found != aNode.mProgress.end() && found->second.mLeaving && !isSilent(aStorage);
-  };
-  const auto isUnresponsive = [&](StorageId aStorage) {
-    return isSilentFor(aStorage, aContext.mSettings.mVoterRemovalTimeout);
-  };
-  const std::optional<Membership> changed =
-    NextMembershipChange({ CurrentMembership(aNode),
-                           OwnStorageId(aNode),
-                           aContext.mSettings.mInstances,
-                           aNode.mJoining,
-                           hasCaughtUp,
-                           aContext.mSettings.mOpenMembership,
-                           isLeaving,
-                           isSilent,
-                           isUnresponsive,
-                           aContext.mSettings.mMinVoters,
-                           aContext.mSettings.mMaxVoters });
-  if (!changed.has_value()) {
-    return;
-  }
-  Entry entry;
-  entry.set_kind(lw::consensus::MEMBERSHIP);
-  *entry.mutable_membership() = *changed;
-  AppendInCurrentTerm(aNode, std::move(entry), aOutput);
-  SendToAll(aNode, aContext, aOutput);
-}
-
 } // namespace Consensus::Internal
--- a/src/libs/consensus/formation.h
+++ b/src/libs/consensus/formation.h
@@ -21,8 +21,4 @@
 void
 SendRetiredNotice(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput);
 
-/// Proposes the next membership change at the leader if no other change is in progress.
-void
-ProposeMembershipChange(Node& aNode, const Context& aContext, Output& aOutput);
-
 } // namespace Consensus::Internal
--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -3,6 +3,7 @@
 #include "absl/status/status.h"
 #include "consensus/election.h"
 #include "consensus/formation.h"
+#include "consensus/membershipproposal.h"
 #include "consensus/replication.h"
 #include "consensus/roles.h"
 #include "consensus/snapshottransfer.h"
@@ -301,45 +302,6 @@
   return output;
 }
 
-Output
-TransferLeadership(Node& aNode, const Context& aContext)
-{
-  Output output;
-  auto best = aNode.mProgress.end();
-  for (auto other = aNode.mProgress.begin(); other != aNode.mProgress.end(); ++other) {
-    const auto sinceLastReply = aContext.mNow - other->second.mLastReply;
-    const bool eligible = IsVoter(CurrentMembership(aNode), other->first) &&
-                          !other->second.mLeaving &&
-                          sinceLastReply < aContext.mSettings.mElectionTimeout;
-    const bool better =
-      best == aNode.mProgress.end() || other->second.mSyncedIndex > best->second.mSyncedIndex;
-    if (eligible && better) {
-      best = other;
-    }
-  }
-  if (aNode.mRole == Role::Leader && best != aNode.mProgress.end()) {
-    Message message = MakeMessage(aNode, aContext, best->second.mInstance, best->first);
-    message.mutable_hand_over();
-    output.mMessages.push_back(std::move(message));
-  }
-  return output;
-}
-
-void
-StartLeaving(Node& aNode, const Context& aContext)
-{
-  aNode.mLeaving = true;
-  aNode.mNextHello = aContext.mNow + aContext.mSettings.mHeartbeatInterval;
-}
-
-bool
-AwaitsRemoval(const Node& aNode, const Settings& aSettings)
-{
-  const Membership& membership = CurrentMembership(aNode);
-  return aSettings.mOpenMembership && IsVoter(membership, OwnStorageId(aNode)) &&
-         CanReleaseVoter(membership, aSettings.mMinVoters);
-}
-
 bool
 IsSnapshotDue(const Node& aNode, const Settings& aSettings)
 {
