Assign the address of an upstream whose departure was known first

Callers would see: a flow that was just opened is reset although its upstream lives. An entry instance sends the flow to an upstream that has crashed long ago; a new start under the same id and address takes it; another instance, which knows that the address was used by a third upstream in between, resets it.

Cause: an announcement with an address ends the earlier upstream at that address. If the departure of the later upstream came first, which has no address, the announcement only updated the entry and the earlier upstream stayed ready at this instance.

--- a/src/libs/directory/mergeddirectory.cpp
+++ b/src/libs/directory/mergeddirectory.cpp
@@ -90,6 +90,7 @@
     }
     // A departure may arrive before the first announcement, and has no address.
     const bool hasAddress = next.mUpstream.mAddress.mPort != 0;
+    const bool addressIsNew = hasAddress && known.mUpstream.mAddress.mPort == 0;
     const State before = known.mUpstream.mState;
     const State state = std::max(before, next.mUpstream.mState);
     known.mLastAnnouncedAt = std::max(known.mLastAnnouncedAt, next.mLastAnnouncedAt);
@@ -101,6 +102,9 @@
     if (before == State::Ready && state != State::Ready) {
       aRetired.push_back(known.mTag);
     }
+    if (addressIsNew) {
+      AssignAddress(aDirectory, known, aRetired);
+    }
     return;
   }
   const auto [newest, added] = aDirectory.mNewest.try_emplace(next.mUpstream.mId, next.mTag);
--- a/tests/auto/directory/tst_mergeddirectory.cpp
+++ b/tests/auto/directory/tst_mergeddirectory.cpp
@@ -106,6 +106,22 @@
   LONGS_EQUAL(8080, Find(1, 10)->mUpstream.mAddress.mPort);
 }
 
+// Guards against an earlier upstream that stays ready after another one has taken its address, if
+// the departure of the later one is known before its announcement. New flows would go to the
+// earlier one, and instances that know better reset them.
+TEST(MergedDirectory, AddressAfterTheDepartureEndsTheEarlierUpstream)
+{
+  Merge(1, 10, 7, lw::fleet::READY);
+  Merge(2, 20, 0, lw::fleet::DRAINING);
+  LONGS_EQUAL(1, Merge(2, 20, 7, lw::fleet::READY).size());
+  CHECK_TRUE(Find(1, 10)->mUpstream.mState == State::Gone);
+  CHECK_TRUE(Find(2, 20)->mUpstream.mState == State::Draining);
+  Merge(3, 15, 0, lw::fleet::DRAINING);
+  Merge(3, 15, 7, lw::fleet::READY);
+  CHECK_TRUE(Find(3, 15)->mUpstream.mState == State::Gone);
+  CHECK_TRUE(Find(2, 20)->mUpstream.mState == State::Draining);
+}
+
 // Guards against an age that grows because one control instance no longer receives announcements of
 // an upstream while another one does.
 TEST(MergedDirectory, LatestAnnouncementDeterminesTheAge)
