Split the completion of requests off from their attempts

The functions that end a request, with the state that they share, are completion.h and completion.cpp now, and the context of a handler has a header of its own.

--- a/src/libs/requests/handover.cpp
+++ b/src/libs/requests/handover.cpp
@@ -1,5 +1,6 @@
 #include "requests/handover.h"
 
+#include "requests/completion.h"
 #include "requests/messages.h"
 #include "requests/replies.h"
 #include "requests/routing.h"
--- a/src/libs/requests/owner.cpp
+++ b/src/libs/requests/owner.cpp
@@ -1,6 +1,7 @@
 #include "requests/owner.h"
 
 #include "base/hash.h"
+#include "requests/completion.h"
 #include "requests/policy.h"
 #include "requests/replies.h"
 
--- a/src/libs/requests/progress.cpp
+++ b/src/libs/requests/progress.cpp
@@ -1,5 +1,6 @@
 #include "requests/progress.h"
 
+#include "requests/completion.h"
 #include "requests/policy.h"
 #include "requests/replies.h"
 
--- a/src/libs/requests/transfer.cpp
+++ b/src/libs/requests/transfer.cpp
@@ -1,5 +1,6 @@
 #include "requests/transfer.h"
 
+#include "requests/completion.h"
 #include "requests/messages.h"
 #include "requests/policy.h"
 
