Limit the bandwidth of pins

Change: a pin is sent if its flow is still open after 3 s, when flows of one request are closed or given up, and all pins of an instance take 6 KB a second at most, whatever the number of peers. Closing a flow without a record marks its pin, too.

--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -1,5 +1,6 @@
 #include "steering/flowpins.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace Steering {
@@ -8,13 +9,27 @@
 
 /// Callers and upstreams may discard older flows.
 constexpr std::chrono::seconds kPinLifetime{ 60 };
-/// Most flows carry one request and are closed before this, and then need no pin at the peers.
-constexpr std::chrono::milliseconds kReportDelay{ 250 };
+/// Flows that carry one request are closed before this, or their callers have given up. They need
+/// no pin at the peers.
+constexpr std::chrono::seconds kReportDelay{ 3 };
+/// Size of a pin in a report.
+constexpr int64_t kPinBytes = 34;
+/// Bandwidth for the pins of one instance to all of its peers. Links have as little as 2 Mbit/s,
+/// and every peer has to read each pin.
+constexpr int64_t kPinBytesPerSecond = 6 * 1024;
 /// Keeps a report small enough for a datagram.
-constexpr int kMaxPinsPerReport = 64;
+constexpr int64_t kMaxPinsPerReport = 64;
 /// Upper bound of the bytes that a caller sends on a flow within its lifetime.
 constexpr uint32_t kMaxFlowBytes = uint32_t{ 64 } * 1024 * 1024;
 
+int
+PinsPerReport(size_t aPeers, Base::Duration aInterval)
+{
+  const auto bytesPerPin = kPinBytes * static_cast<int64_t>(std::max<size_t>(aPeers, 1));
+  const int64_t bytes = kPinBytesPerSecond * aInterval / std::chrono::seconds(1);
+  return static_cast<int>(std::clamp<int64_t>(bytes / bytesPerPin, 1, kMaxPinsPerReport));
+}
+
 void
 Schedule(FlowPins& aPins, const FlowKey& aFlow, FlowPin& aPin, Base::TimePoint aDueAt)
 {
@@ -111,10 +126,15 @@
 }
 
 void
-AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport, Base::TimePoint aNow)
+AddPendingPins(FlowPins& aPins,
+               lw::fleet::LoadReport& aReport,
+               size_t aPeers,
+               Base::Duration aInterval,
+               Base::TimePoint aNow)
 {
+  const int maxPins = PinsPerReport(aPeers, aInterval);
   size_t left = aPins.mPending.size();
-  while (left > 0 && aReport.pins_size() < kMaxPinsPerReport) {
+  while (left > 0 && aReport.pins_size() < maxPins) {
     --left;
     const FlowPins::Pending pending = aPins.mPending.front();
     aPins.mPending.pop_front();
--- a/src/libs/steering/flowpins.h
+++ b/src/libs/steering/flowpins.h
@@ -72,13 +72,19 @@
 std::optional<Directory::RouteTag>
 PinnedTag(const FlowPins& aPins, const FlowKey& aFlow, uint32_t aSequence);
 
-/// Records that the caller closes the flow.
+/// Records that the caller closes the flow, if it is pinned.
 void
 MarkClosing(FlowPins& aPins, const FlowKey& aFlow);
 
-/// Adds scheduled pins to a report, as many as fit.
+/// Adds scheduled pins to a report, as many as the bandwidth for pins allows.
+/// \param aPeers is the number of instances that the report is sent to.
+/// \param aInterval is the interval between two reports.
 void
-AddPendingPins(FlowPins& aPins, lw::fleet::LoadReport& aReport, Base::TimePoint aNow);
+AddPendingPins(FlowPins& aPins,
+               lw::fleet::LoadReport& aReport,
+               size_t aPeers,
+               Base::Duration aInterval,
+               Base::TimePoint aNow);
 
 /// Stores the pins of a peer's report.
 void
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -61,6 +61,9 @@
            Base::TimePoint aNow,
            std::optional<Base::Duration>& aHandshake)
 {
+  if (aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort) {
+    MarkClosing(aState.mPins, aPacket.mFlow);
+  }
   const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
   if (found == aState.mFlows.mFlows.end()) {
     return PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
@@ -71,10 +74,6 @@
     aHandshake = aNow - flow.mOpenedAt;
     ConfirmFlow(aState, aPacket, flow, aNow);
   }
-  const bool closes = aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort;
-  if (closes && IsContested(flow)) {
-    MarkClosing(aState.mPins, aPacket.mFlow);
-  }
   const bool closesUnused = aPacket.mKind == PacketKind::Closing && !flow.mHasSentData;
   if (aPacket.mKind == PacketKind::Abort || closesUnused) {
     RemoveFromLoad(aState.mLoads, flow);
@@ -219,7 +218,8 @@
 MakePeerReport(State& aState, Base::TimePoint aNow)
 {
   lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
-  AddPendingPins(aState.mPins, report, aNow);
+  const size_t peers = aState.mInstances - 1;
+  AddPendingPins(aState.mPins, report, peers, ReportInterval(aState.mInstances), aNow);
   return report;
 }
 
