--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -16,7 +16,7 @@
 constexpr int64_t kPinBytes = 34;
 /// Bandwidth for the pins of one instance to all of its peers. Links have as little as 2 Mbit/s,
 /// and every peer has to read each pin.
-constexpr int64_t kPinBytesPerSecond = 6 * 1024;
+constexpr int64_t kPinBytesPerSecond = int64_t{ 6 } * 1024;
 /// Keeps a report small enough for a datagram.
 constexpr int64_t kMaxPinsPerReport = 64;
 /// Upper bound of the bytes that a caller sends on a flow within its lifetime.
