--- a/tests/auto/steering/tst_flowpins.cpp
+++ b/tests/auto/steering/tst_flowpins.cpp
@@ -304,7 +304,7 @@
 TEST(FlowPins, PinsAreSentWithinTheirBandwidth)
 {
   constexpr uint32_t kFlows = 200;
-  constexpr size_t kMaxBytesPerSecond = 8 * 1024;
+  constexpr size_t kMaxBytesPerSecond = size_t{ 8 } * 1024;
   for (const size_t instances : { size_t{ 2 }, size_t{ 7 }, size_t{ 59 } }) {
     mEntry.mState.mPins = {};
     mPeer.mState.mPins = {};
