Ask for pins again after a loss of reports in one direction

A flow that two upstreams had answered could be reset after a pause, if the fabric had moved it to an instance that missed the three reports with its pin. The instance that sent them repeats its pins for peers whose reports it missed itself, but a loss in one direction leaves its own reception untouched, so it could not notice.

An instance that misses three reports of a peer now names that peer in its next three reports, and the peer repeats its pins.

tst_flowpins, PinsAreRepeatedAfterALossInOneDirection, failed before: the packet went to the upstream that had answered late.

--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace Steering {
 
@@ -89,6 +90,15 @@
   pin->set_origin(aPin.mOrigin);
 }
 
+void
+AddRequests(FlowPins& aPins, lw::fleet::LoadReport& aReport)
+{
+  for (auto request = aPins.mRequests.begin(); request != aPins.mRequests.end();) {
+    aReport.add_pins_requested_from(request->first);
+    request = --request->second == 0 ? aPins.mRequests.erase(request) : std::next(request);
+  }
+}
+
 } // namespace
 
 void
@@ -132,6 +142,7 @@
                Base::Duration aInterval,
                Base::TimePoint aNow)
 {
+  AddRequests(aPins, aReport);
   const int maxPins = PinsPerReport(aPeers, aInterval);
   size_t left = aPins.mPending.size();
   while (left > 0 && aReport.pins_size() < maxPins) {
@@ -172,6 +183,19 @@
   }
 }
 
+void
+RequestPins(FlowPins& aPins, uint32_t aPeer)
+{
+  aPins.mRequests[aPeer] = kReportsPerPin;
+}
+
+bool
+RequestsPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport)
+{
+  const auto& requested = aReport.pins_requested_from();
+  return std::find(requested.begin(), requested.end(), aPins.mSelf) != requested.end();
+}
+
 void
 SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports, Base::TimePoint aNow)
 {
--- a/src/libs/steering/flowpins.h
+++ b/src/libs/steering/flowpins.h
@@ -6,6 +6,7 @@
 #include "fleet.pb.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -52,6 +53,8 @@
   std::deque<Expiry> mExpiries;
   /// Pins with mReportsLeft > 0.
   std::deque<Pending> mPending;
+  /// Peers that are asked to repeat their pins, and the number of reports that still ask them.
+  std::map<uint32_t, int> mRequests;
 };
 
 constexpr size_t kMaxPins = 20000;
@@ -76,7 +79,8 @@
 void
 MarkClosing(FlowPins& aPins, const FlowKey& aFlow);
 
-/// Adds scheduled pins to a report, as many as the bandwidth for pins allows.
+/// Adds scheduled pins to a report, as many as the bandwidth for pins allows, and the requests for
+/// the pins of peers.
 /// \param aPeers is the number of instances that the report is sent to.
 /// \param aInterval is the interval between two reports.
 void
@@ -90,6 +94,15 @@
 void
 ApplyPins(FlowPins& aPins, const lw::fleet::LoadReport& aReport, Base::TimePoint aNow);
 
+/// Asks a peer to repeat its pins, because this instance missed several of its reports. The peer
+/// can't tell: reports may be lost in one direction only.
+void
+RequestPins(FlowPins& aPins, uint32_t aPeer);
+
+/// \return true if the report asks this instance to repeat its pins.
+bool
+RequestsPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport);
+
 /// Schedules the pins that a peer needs from this instance if it may have missed some: those made
 /// here, those that the peer itself made before it restarted, and those of instances that no longer
 /// send reports.
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -228,8 +228,12 @@
 {
   ApplyPins(aState.mPins, aReport, aNow);
   const uint64_t missed = ApplyLoadReport(aState.mReports, aState.mLoads, aReport, aNow);
-  if (missed >= kReportsPerPin) {
-    // The peer has just started or was out of reach, so it may lack pins as well.
+  const bool missedPins = missed >= kReportsPerPin;
+  if (missedPins) {
+    RequestPins(aState.mPins, aReport.instance());
+  }
+  // A peer that has just started or was out of reach may lack pins as well.
+  if (missedPins || RequestsPins(aState.mPins, aReport)) {
     SchedulePinsFor(aState.mPins, aReport.instance(), aState.mReports, aNow);
   }
 }
--- a/tests/auto/steering/tst_flowpins.cpp
+++ b/tests/auto/steering/tst_flowpins.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kCopyInterval{ 200 };
 /// Time after which a flow that is still open is reported.
 constexpr milliseconds kReportDelay{ 3100 };
+constexpr milliseconds kReportInterval{ 100 };
 /// Longer than the record of an idle flow is kept, shorter than the idle timeout of flows.
 constexpr seconds kPause{ 4 };
 constexpr seconds kMaxFlowAge{ 60 };
@@ -61,12 +62,17 @@
   }
 
   /// Opens a flow at the first of the upstreams that got its opening packet.
-  void OpenTwice()
+  void OpenAtHolder()
   {
     mHolder = mEntry.Send(kCallerPort, PacketKind::Opening).mTag;
     Advance(kCopyInterval);
     mOther = mEntry.Send(kCallerPort, PacketKind::Opening).mTag;
     mEntry.Send(kCallerPort, PacketKind::MidFlow, mHolder, true);
+  }
+
+  void OpenTwice()
+  {
+    OpenAtHolder();
     Advance(kReportDelay);
   }
 
@@ -200,6 +206,25 @@
   CHECK_TRUE(SendAfterLateAnswer(mPeer) == mHolder);
 }
 
+// Guards against pins that a peer misses because reports are lost in one direction only. The
+// instance that sent them gets all reports of the peer and can't notice.
+TEST(FlowPins, PinsAreRepeatedAfterALossInOneDirection)
+{
+  Report(mPeer, mEntry);
+  Report(mEntry, mPeer);
+  OpenAtHolder();
+  for (Base::Duration lost{ 0 }; lost < kReportDelay + kPause; lost += kReportInterval) {
+    Advance(kReportInterval);
+    Report(mPeer, mEntry);
+    Steering::MakePeerReport(mEntry.mState, mEntry.mNow);
+  }
+  Report(mEntry, mPeer);
+  CHECK_TRUE(SendAfterLateAnswer(mPeer) == mOther);
+  Report(mPeer, mEntry);
+  Report(mEntry, mPeer);
+  CHECK_TRUE(SendAfterLateAnswer(mPeer) == mHolder);
+}
+
 // Guards against pins that an instance which has just been lost should have sent to a started one.
 TEST(FlowPins, PinsOfALostInstanceAreSentOnceItsReportsExpire)
 {
