Report pins after 250 ms while few are pending

A pin was reported 3 s after the handshake. If the instance that had seen the handshake was lost before that, its peers followed the tag in the caller's packets, which names the wrong upstream after a late answer of another one, and that upstream reset the flow.

The delay keeps flows of one request out of the reports, because under load many flows are opened by copies and the bandwidth for pins is limited. With up to 8 pins pending there is room for them, so they are reported as soon as 250 ms after the handshake. The bandwidth stays as it was.

tst_flowpins, PinIsReportedSoonWhileFewArePending, failed before.

--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -12,7 +12,12 @@
 constexpr std::chrono::seconds kPinLifetime{ 60 };
 /// Flows that carry one request are closed before this, or their callers have given up. They need
 /// no pin at the peers.
-constexpr std::chrono::seconds kReportDelay{ 3 };
+constexpr std::chrono::milliseconds kReportDelay{ 3000 };
+/// Delay while few pins wait for a report. If this instance is lost before a pin is reported, the
+/// flow follows its tag, which may be the wrong one. Under load, the bandwidth has to be left to
+/// the flows that stay open.
+constexpr std::chrono::milliseconds kEarlyReportDelay{ 250 };
+constexpr size_t kMaxEarlyPins = 8;
 /// Size of a pin in a report.
 constexpr int64_t kPinBytes = 34;
 /// Bandwidth for the pins of one instance to all of its peers. Links have as little as 2 Mbit/s,
@@ -145,6 +150,8 @@
   AddRequests(aPins, aReport);
   const int maxPins = PinsPerReport(aPeers, aInterval);
   size_t left = aPins.mPending.size();
+  const Base::TimePoint dueBy =
+    left <= kMaxEarlyPins ? aNow + kReportDelay - kEarlyReportDelay : aNow;
   while (left > 0 && aReport.pins_size() < maxPins) {
     --left;
     const FlowPins::Pending pending = aPins.mPending.front();
@@ -156,7 +163,7 @@
     FlowPin& pin = found->second;
     if (pin.mClosing) {
       pin.mReportsLeft = 0;
-    } else if (aNow >= pending.mDueAt) {
+    } else if (dueBy >= pending.mDueAt) {
       AddToReport(pending.mFlow, pin, aReport);
       --pin.mReportsLeft;
     }
--- a/tests/auto/steering/tst_flowpins.cpp
+++ b/tests/auto/steering/tst_flowpins.cpp
@@ -225,6 +225,16 @@
   CHECK_TRUE(SendAfterLateAnswer(mPeer) == mHolder);
 }
 
+// Guards against a flow whose pin is lost with the instance, because the instance is lost within
+// seconds of the handshake.
+TEST(FlowPins, PinIsReportedSoonWhileFewArePending)
+{
+  OpenAtHolder();
+  Advance(milliseconds(300));
+  Report(mEntry, mPeer);
+  CHECK_TRUE(SendAfterLateAnswer(mPeer) == mHolder);
+}
+
 // Guards against pins that an instance which has just been lost should have sent to a started one.
 TEST(FlowPins, PinsOfALostInstanceAreSentOnceItsReportsExpire)
 {
