--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -48,6 +48,14 @@
   PlaceLoad mRemoteLoad;
 };
 
+/// \return true if the upstream may get new flows of the service. If not, it is no candidate.
+bool
+TakesNewFlows(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
+{
+  const Directory::Upstream& described = aUpstream.mUpstream;
+  return described.mState == Directory::State::Ready && described.mService == aInput.mService;
+}
+
 PreferenceGroup
 PreferenceGroupOf(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
 {
@@ -193,11 +201,9 @@
 {
   std::array<Candidates, PreferenceGroupCount> groups;
   for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    const Directory::Upstream& described = upstream.mUpstream;
-    if (described.mState != Directory::State::Ready || described.mService != aInput.mService) {
-      continue;
+    if (TakesNewFlows(aInput, upstream)) {
+      AddCandidate(aInput, upstream, groups[PreferenceGroupOf(aInput, upstream)]);
     }
-    AddCandidate(aInput, upstream, groups[PreferenceGroupOf(aInput, upstream)]);
   }
   for (int group = Healthy; group < PreferenceGroupCount; ++group) {
     const Candidates& candidates = groups[group];
