--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace Steering {
 
@@ -11,7 +12,12 @@
 constexpr std::chrono::seconds kPinLifetime{ 60 };
 /// Flows that carry one request are closed before this, or their callers have given up. They need
 /// no pin at the peers.
-constexpr std::chrono::seconds kReportDelay{ 3 };
+constexpr std::chrono::milliseconds kReportDelay{ 3000 };
+/// Delay while few pins wait for a report. If this instance is lost before a pin is reported, the
+/// flow follows its tag, which may be the wrong one. Under load, the bandwidth has to be left to
+/// the flows that stay open.
+constexpr std::chrono::milliseconds kEarlyReportDelay{ 250 };
+constexpr size_t kMaxEarlyPins = 8;
 /// Size of a pin in a report.
 constexpr int64_t kPinBytes = 34;
 /// Bandwidth for the pins of one instance to all of its peers. Links have as little as 2 Mbit/s,
@@ -89,6 +95,15 @@
   pin->set_origin(aPin.mOrigin);
 }
 
+void
+AddRequests(FlowPins& aPins, lw::fleet::LoadReport& aReport)
+{
+  for (auto request = aPins.mRequests.begin(); request != aPins.mRequests.end();) {
+    aReport.add_pins_requested_from(request->first);
+    request = --request->second == 0 ? aPins.mRequests.erase(request) : std::next(request);
+  }
+}
+
 } // namespace
 
 void
@@ -132,8 +147,11 @@
                Base::Duration aInterval,
                Base::TimePoint aNow)
 {
+  AddRequests(aPins, aReport);
   const int maxPins = PinsPerReport(aPeers, aInterval);
   size_t left = aPins.mPending.size();
+  const Base::TimePoint dueBy =
+    left <= kMaxEarlyPins ? aNow + kReportDelay - kEarlyReportDelay : aNow;
   while (left > 0 && aReport.pins_size() < maxPins) {
     --left;
     const FlowPins::Pending pending = aPins.mPending.front();
@@ -145,7 +163,7 @@
     FlowPin& pin = found->second;
     if (pin.mClosing) {
       pin.mReportsLeft = 0;
-    } else if (aNow >= pending.mDueAt) {
+    } else if (dueBy >= pending.mDueAt) {
       AddToReport(pending.mFlow, pin, aReport);
       --pin.mReportsLeft;
     }
@@ -172,6 +190,19 @@
   }
 }
 
+void
+RequestPins(FlowPins& aPins, uint32_t aPeer)
+{
+  aPins.mRequests[aPeer] = kReportsPerPin;
+}
+
+bool
+RequestsPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport)
+{
+  const auto& requested = aReport.pins_requested_from();
+  return std::find(requested.begin(), requested.end(), aPins.mSelf) != requested.end();
+}
+
 void
 SchedulePinsFor(FlowPins& aPins, uint32_t aPeer, const PeerReports& aReports, Base::TimePoint aNow)
 {
