Hold packets until routes and upstreams are known

After a start, an entry instance dropped opening packets as not_started and packets of open flows as unknown_tag until its first poll replies. A caller that lost a packet this way sent it again too late for a deadline of 3 s.

With a complete directory, an unknown tag is dropped as before, unless a connected control instance is overdue. The log event first_forward and three counters show the effect.

--- a/src/libs/directory/mergeddirectory.cpp
+++ b/src/libs/directory/mergeddirectory.cpp
@@ -136,6 +136,8 @@
     source.mEpoch = aReply.directory_epoch();
   }
   source.mRepliedAt = aNow;
+  source.mConnected = aReply.connected();
+  source.mComplete = !aReply.more();
   std::vector<RouteTag> retired;
   for (const lw::fleet::Upstream& upstream : aReply.upstreams()) {
     MergeUpstream(aDirectory, aControl, upstream, aNow, retired);
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -46,6 +46,9 @@
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
   , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
+  , mEarlyHeldCounter(aMetrics.CounterFor("early_packets_held_total"))
+  , mEarlyReleasedCounter(aMetrics.CounterFor("early_packets_released_total"))
+  , mEarlyExpiredCounter(aMetrics.CounterFor("early_packets_expired_total"))
   , mPoller(aSettings.mPoller,
             [this](const PollEvent& aEvent) {
               asio::post(mContext, [this, aEvent] { HandlePoll(aEvent); });
@@ -109,12 +112,25 @@
   if (decision.mReason != Steering::Reason::Tagged) {
     LogDecision(aPacket.mFlow, aPacket.mTag, decision);
   }
-  if (decision.mAction == Steering::Action::Hold) {
+  if (Steering::IsHeldEarly(decision)) {
+    mEarlyHeldCounter.Add();
+  } else if (decision.mAction == Steering::Action::Hold) {
     WaitForRelease();
   }
+  NoteForward(decision);
   return decision;
 }
 
+void
+EntryNode::NoteForward(const Steering::Decision& aDecision)
+{
+  if (aDecision.mAction != Steering::Action::Forward || std::exchange(mHasForwarded, true)) {
+    return;
+  }
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  mEvents.Add(EventLog::Line("first_forward").Add("ms", Milliseconds(now - mStartedAt)), now);
+}
+
 void
 EntryNode::CountDecision(const Steering::Decision& aDecision)
 {
@@ -125,7 +141,7 @@
 }
 
 void
-EntryNode::SetReleaseHandler(std::function<void(const Steering::ReleasedOpening&)> aHandler)
+EntryNode::SetReleaseHandler(std::function<void(const Steering::ReleasedPacket&)> aHandler)
 {
   mReleaseHandler = std::move(aHandler);
 }
@@ -149,17 +165,52 @@
 EntryNode::ReleaseOpenings()
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
-  for (const Steering::ReleasedOpening& released :
+  for (const Steering::ReleasedPacket& released :
        Steering::ReleaseOpenings(mState, mSettings.mSteering, now)) {
-    CountDecision(released.mDecision);
-    LogDecision(released.mFlow, Directory::RouteTag(), released.mDecision);
-    mReleaseHandler(released);
+    HandleReleased(released);
   }
   if (Steering::HasHeldOpenings(mState)) {
     WaitForRelease();
   }
 }
 
+void
+EntryNode::ReleaseEarlyPackets()
+{
+  ExpireEarlyPackets();
+  const Base::TimePoint now = Base::RuntimeClock::now();
+  for (const Steering::ReleasedPacket& released :
+       Steering::ReleaseEarlyPackets(mState, mSettings.mSteering, now)) {
+    mEarlyReleasedCounter.Add();
+    HandleReleased(released);
+  }
+  if (Steering::HasHeldOpenings(mState)) {
+    WaitForRelease();
+  }
+}
+
+void
+EntryNode::ExpireEarlyPackets()
+{
+  for (const Steering::ReleasedPacket& expired :
+       Steering::ExpireEarlyPackets(mState, Base::RuntimeClock::now())) {
+    // The reason was counted when the packet was held.
+    mEarlyExpiredCounter.Add();
+    LogDecision(expired.mFlow, Directory::RouteTag(), expired.mDecision);
+  }
+}
+
+void
+EntryNode::HandleReleased(const Steering::ReleasedPacket& aReleased)
+{
+  CountDecision(aReleased.mDecision);
+  if (aReleased.mDecision.mReason != Steering::Reason::Tagged) {
+    LogDecision(aReleased.mFlow, Directory::RouteTag(), aReleased.mDecision);
+  }
+  NoteForward(aReleased.mDecision);
+  mReleaseHandler(aReleased);
+}
+
 void
 EntryNode::LogDecision(const Steering::FlowKey& aFlow,
                        Directory::RouteTag aTag,
@@ -202,7 +253,8 @@
   if (aEvent.mRegained) {
     mEvents.Add(EventLog::Line("control_regained").Add("control", control), now);
   }
-  if (Steering::ApplyPollReply(mState, aEvent.mControl, *aEvent.mReply, now)) {
+  const bool routesChanged = Steering::ApplyPollReply(mState, aEvent.mControl, *aEvent.mReply, now);
+  if (routesChanged) {
     mPoller.SetDeclaredVersion(mState.mRoutes.mVersion);
     mVersionGauge.Set(static_cast<int64_t>(mState.mRoutes.mVersion));
     mEvents.Add(EventLog::Line("config_in_force")
@@ -233,6 +285,9 @@
     mState.mInstances = mPeers.size();
   }
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
+  if (routesChanged || aEvent.mReply->upstreams_size() > 0) {
+    ReleaseEarlyPackets();
+  }
 }
 
 void
@@ -245,6 +300,7 @@
     }
     const Base::TimePoint now = Base::RuntimeClock::now();
     Steering::Expire(mState, now);
+    ExpireEarlyPackets();
     mEvents.Flush(now);
     WaitForTick();
   });
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -43,7 +43,7 @@
 
   /// Sets the function that forwards or resets a packet that Steer decided to hold. It is called on
   /// the thread of the io_context.
-  void SetReleaseHandler(std::function<void(const Steering::ReleasedOpening&)> aHandler);
+  void SetReleaseHandler(std::function<void(const Steering::ReleasedPacket&)> aHandler);
 
   /// Decides what to do with a packet, and updates the metrics. Logs the decision and the values it
   /// was based on, except for packets that are just forwarded by their tag.
@@ -61,6 +61,12 @@
   void ReceiveReports();
   void WaitForRelease();
   void ReleaseOpenings();
+  /// Decides early packets again.
+  void ReleaseEarlyPackets();
+  void ExpireEarlyPackets();
+  /// Counts, logs and executes the decision on a packet that was held.
+  void HandleReleased(const Steering::ReleasedPacket& aReleased);
+  void NoteForward(const Steering::Decision& aDecision);
   void CountDecision(const Steering::Decision& aDecision);
   void LogDecision(const Steering::FlowKey& aFlow,
                    Directory::RouteTag aTag,
@@ -73,6 +79,9 @@
   Metrics::Gauge& mVersionGauge;
   Metrics::Gauge& mUpstreamsGauge;
   Metrics::Histogram& mHandshakeHistogram;
+  Metrics::Counter& mEarlyHeldCounter;
+  Metrics::Counter& mEarlyReleasedCounter;
+  Metrics::Counter& mEarlyExpiredCounter;
   std::array<Metrics::Counter*, static_cast<size_t>(Steering::Reason::Malformed) + 1>
     mDecisionCounters{};
   Steering::State mState;
@@ -81,8 +90,11 @@
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mTimer;
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mReportTimer;
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mReleaseTimer;
-  std::function<void(const Steering::ReleasedOpening&)> mReleaseHandler;
+  std::function<void(const Steering::ReleasedPacket&)> mReleaseHandler;
   bool mReleaseScheduled = false;
+  /// The process constructs its node right after it has read its settings.
+  const Base::TimePoint mStartedAt = Base::RuntimeClock::now();
+  bool mHasForwarded = false;
   std::vector<uint32_t> mPeers;
   uint64_t mIncarnation = 0;
   uint64_t mReportSequence = 0;
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -32,6 +32,34 @@
   return decision;
 }
 
+bool
+IsDirectoryComplete(const State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  if (aState.mFirstReplyAt == Base::TimePoint() ||
+      aNow - aState.mFirstReplyAt <= aSettings.mLease) {
+    return false;
+  }
+  const auto& sources = aState.mDirectory.mSources;
+  return std::all_of(sources.begin(), sources.end(), [&](const auto& aItem) {
+    const Directory::DirectorySource& source = aItem.second;
+    // The upstreams of a control instance that was lost announce themselves to others by then.
+    const bool lost = aNow - source.mRepliedAt > aSettings.mLease;
+    return source.mComplete || !source.mConnected || lost;
+  });
+}
+
+Decision
+HoldUndecided(State& aState,
+              const Settings& aSettings,
+              const Packet& aPacket,
+              Reason aReason,
+              Base::TimePoint aNow)
+{
+  const bool held =
+    HoldEarly(aState.mEarlyPackets, aPacket, aReason, aSettings.mOpeningLifetime, aNow);
+  return Refuse(held ? Action::Hold : Action::Drop, aReason);
+}
+
 void
 RecordUnansweredOpening(State& aState, Flow& aFlow, Base::TimePoint aNow)
 {
@@ -85,9 +113,8 @@
        Base::TimePoint aNow)
 {
   if (aChoice.mUpstream == nullptr) {
-    // After a start, the directory is complete only when every upstream has had the time to renew
-    // its announcement. A reset before that could refuse a flow that an unknown upstream can serve.
-    const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
+    // Before the directory is complete, an unknown upstream may be able to serve the flow.
+    const bool complete = IsDirectoryComplete(aState, aSettings, aNow);
     return Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
   }
   RemoveFromLoad(aState.mLoads, aFlow);
@@ -239,7 +266,7 @@
             const Settings& aSettings,
             OpeningQueue& aQueue,
             Base::TimePoint aNow,
-            std::vector<ReleasedOpening>& aReleased)
+            std::vector<ReleasedPacket>& aReleased)
 {
   RemoveExpiredOpenings(aState, aSettings, aQueue, aNow);
   while (const HeldOpening* next = Next(aQueue, aNow)) {
@@ -275,7 +302,7 @@
     aState.mFlows.mFlows.erase(known);
   }
   if (aState.mRoutes.mVersion == 0) {
-    return Refuse(Action::Drop, Reason::NotStarted);
+    return HoldUndecided(aState, aSettings, aPacket, Reason::NotStarted, aNow);
   }
   const auto route = aState.mRoutes.mRoutes.find(aPacket.mFlow.mService);
   if (route == aState.mRoutes.mRoutes.end()) {
@@ -286,10 +313,13 @@
   flow.mService = SelectService(route->second, aState.mRandom);
   flow.mRouteVersion = aState.mRoutes.mVersion;
   flow.mSequence = aPacket.mSequence;
-  flow.mOpenedAt = aNow - aPacket.mAge;
+  flow.mOpenedAt = aNow - aPacket.mAge - aPacket.mHeldFor;
   flow.mTriedElsewhere = aPacket.mAge > Base::Duration::zero();
   flow.mLastPacketAt = aNow;
   const Decision decision = AssignOrHold(aState, aSettings, flow, aPacket, Reason::NewFlow, aNow);
+  if (decision.mReason == Reason::NoUpstream && decision.mAction == Action::Drop) {
+    return HoldUndecided(aState, aSettings, aPacket, Reason::NoUpstream, aNow);
+  }
   if (decision.mAction == Action::Forward || decision.mAction == Action::Hold) {
     if (aState.mFlows.mFlows.size() < kMaxFlows) {
       aState.mFlows.mFlows.emplace(aPacket.mFlow, std::move(flow));
@@ -310,10 +340,10 @@
                      [](const auto& aItem) { return Size(aItem.second) > 0; });
 }
 
-std::vector<ReleasedOpening>
+std::vector<ReleasedPacket>
 ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow)
 {
-  std::vector<ReleasedOpening> released;
+  std::vector<ReleasedPacket> released;
   for (auto& [service, queue] : aState.mOpeningsByService) {
     Internal::ReleaseFrom(aState, aSettings, queue, aNow, released);
   }
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace Steering {
 
@@ -106,9 +107,45 @@
   return address.mPort == 0 || address == aUpstream.mUpstream.mAddress;
 }
 
+/// \return the tag that UpdateFlow would return for the packet.
+Directory::RouteTag
+CurrentTag(const State& aState, const Packet& aPacket)
+{
+  const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
+  const bool keepsTag = found != aState.mFlows.mFlows.end() &&
+                        (found->second.mConfirmed || aPacket.mKind == PacketKind::Abort);
+  return keepsTag
+           ? found->second.mTag
+           : PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
+}
+
+/// \return true if an upstream that is not in the directory may be alive. With a complete
+/// directory, this is the case only while connected control instances have not replied for some
+/// poll intervals, so that packets with invalid tags are not held in normal operation.
+bool
+MayLackUpstreams(const State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  if (!IsDirectoryComplete(aState, aSettings, aNow) ||
+      aNow - aState.mConnectedAt > aSettings.mMaxConfigAge) {
+    return true;
+  }
+  const auto& sources = aState.mDirectory.mSources;
+  return std::any_of(sources.begin(), sources.end(), [&](const auto& aItem) {
+    const Base::Duration silence = aNow - aItem.second.mRepliedAt;
+    return aItem.second.mConnected && silence > aSettings.mMaxConfigAge &&
+           silence <= aSettings.mLease;
+  });
+}
+
 Decision
-SteerTagged(State& aState, const Packet& aPacket, Base::TimePoint aNow)
+SteerTagged(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow)
 {
+  const Directory::RouteTag current = CurrentTag(aState, aPacket);
+  // No upstream has the tag 0. The flow is updated only once, when the packet is decided.
+  if (current.mValue != 0 && Directory::Find(aState.mDirectory, current) == nullptr &&
+      MayLackUpstreams(aState, aSettings, aNow)) {
+    return HoldUndecided(aState, aSettings, aPacket, Reason::UnknownTag, aNow);
+  }
   std::optional<Base::Duration> handshake;
   const Directory::RouteTag tag = UpdateFlow(aState, aPacket, aNow, handshake);
   const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, tag);
@@ -188,14 +225,63 @@
 Decision
 Steer(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow)
 {
-  switch (aPacket.mKind) {
-    case PacketKind::Opening:
-      return SteerOpening(aState, aSettings, aPacket, aNow);
-    case PacketKind::Invalid:
-      return Refuse(Action::Drop, Reason::Malformed);
-    default:
-      return SteerTagged(aState, aPacket, aNow);
+  if (aPacket.mKind == PacketKind::Invalid) {
+    return Refuse(Action::Drop, Reason::Malformed);
+  }
+  const Decision decision = aPacket.mKind == PacketKind::Opening
+                              ? SteerOpening(aState, aSettings, aPacket, aNow)
+                              : SteerTagged(aState, aSettings, aPacket, aNow);
+  if (!IsHeldEarly(decision)) {
+    // A held copy of the packet must not be decided a second time.
+    RemoveEarly(aState.mEarlyPackets, aPacket);
+  }
+  return decision;
+}
+
+bool
+IsHeldEarly(const Decision& aDecision)
+{
+  return aDecision.mAction == Action::Hold && aDecision.mReason != Reason::Saturated;
+}
+
+std::vector<ReleasedPacket>
+ReleaseEarlyPackets(State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  std::vector<ReleasedPacket> released;
+  const EarlyPackets& early = aState.mEarlyPackets;
+  // If an opening is still undecided, later ones to the same address most likely are too. Skipping
+  // them saves a choice of an upstream for each of them at each reply.
+  std::set<Base::Endpoint> undecided;
+  for (auto item = early.mPackets.begin(); item != early.mPackets.end();) {
+    const EarlyOrder order = item->first;
+    Packet packet = ToPacket(item->second, aNow);
+    const bool skip = packet.mKind == PacketKind::Opening
+                        ? aState.mRoutes.mVersion == 0 || undecided.count(packet.mFlow.mService) > 0
+                        : Directory::Find(aState.mDirectory, CurrentTag(aState, packet)) == nullptr;
+    if (!skip && item->second.mExpiresAt > aNow) {
+      ReleasedPacket next{ packet.mFlow, item->second.mDatagram, {} };
+      packet.mDatagram = next.mDatagram;
+      next.mDecision = Steer(aState, aSettings, packet, aNow);
+      if (IsHeldEarly(next.mDecision)) {
+        undecided.insert(packet.mFlow.mService);
+      } else {
+        released.push_back(std::move(next));
+      }
+    }
+    item = early.mPackets.upper_bound(order);
+  }
+  return released;
+}
+
+std::vector<ReleasedPacket>
+ExpireEarlyPackets(State& aState, Base::TimePoint aNow)
+{
+  std::vector<ReleasedPacket> expired;
+  for (EarlyPacket& packet : RemoveExpiredEarly(aState.mEarlyPackets, aNow)) {
+    expired.push_back(
+      { packet.mKey.mFlow, std::move(packet.mDatagram), Refuse(Action::Drop, packet.mReason) });
   }
+  return expired;
 }
 
 bool
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
 #include "steering/choice.h"
+#include "steering/earlypackets.h"
 #include "steering/flowload.h"
 #include "steering/flowpins.h"
 #include "steering/flowtable.h"
@@ -43,8 +44,10 @@
   bool mCarriesData = false;
   /// Sequence number of an opening packet. Retransmissions have the same number.
   uint32_t mSequence = 0;
-  /// Time since the caller sent the first copy of an opening packet.
+  /// Time between the first copy of an opening packet and the copy that this instance received.
   Base::Duration mAge{};
+  /// Time for which this instance has held the packet because it could not decide it.
+  Base::Duration mHeldFor{};
   /// The whole datagram, kept while the packet is held. Valid during the call only.
   std::string_view mDatagram;
 };
@@ -55,7 +58,8 @@
   /// Reset the flow, which tells the caller at once that it is not served.
   Reset,
   Drop,
-  /// Keep the packet until an upstream has room. ReleaseOpenings returns it later.
+  /// Keep the packet until an upstream has room, or, if IsHeldEarly, until it can be decided.
+  /// ReleaseOpenings or ReleaseEarlyPackets returns it later.
   Hold
 };
 
@@ -113,7 +117,8 @@
   /// An upstream without an announcement for this long is used only if there is no other.
   Base::Duration mLease{};
   /// If the last reply of a connected control instance is older than this, a route that is unknown
-  /// here may have been added since, so its packets are dropped instead of reset.
+  /// here may have been added since, so its packets are dropped instead of reset. Likewise, an
+  /// upstream may have announced itself since, so that packets with an unknown tag are held.
   Base::Duration mMaxConfigAge{};
   /// A caller ends its attempt if it has no answer to its opening packet for this long.
   Base::Duration mOpeningLifetime{};
@@ -131,6 +136,7 @@
   LoadTable mLoads;
   PeerReports mReports;
   std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
+  EarlyPackets mEarlyPackets;
   /// Entry instances of the availability zone, including this one.
   size_t mInstances = 1;
   Base::RandomSource mRandom;
@@ -139,8 +145,8 @@
   Base::TimePoint mFirstReplyAt;
 };
 
-/// A held opening packet and what to do with it now.
-struct ReleasedOpening
+/// A held packet and what to do with it now.
+struct ReleasedPacket
 {
   FlowKey mFlow;
   std::string mDatagram;
@@ -174,9 +180,26 @@
 
 /// \return the held opening packets that upstreams have room for now, in the order in which they
 /// are to be forwarded. Removes packets whose callers have ended their attempt.
-std::vector<ReleasedOpening>
+std::vector<ReleasedPacket>
 ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow);
 
+/// \return true if the packet is held because the routes or the directory do not determine yet what
+/// to do with it.
+bool
+IsHeldEarly(const Decision& aDecision);
+
+/// Decides the packets again for which IsHeldEarly was true. To be called after a poll reply has
+/// changed the routes or the directory.
+/// \return the packets that are decided now, in the order in which they are to be handled. Those
+/// that wait for an upstream with room from now on are included, with Action::Hold.
+std::vector<ReleasedPacket>
+ReleaseEarlyPackets(State& aState, const Settings& aSettings, Base::TimePoint aNow);
+
+/// Removes the packets for which IsHeldEarly was true and which were not decided in time.
+/// \return the removed packets with Action::Drop and the reason for which they were held.
+std::vector<ReleasedPacket>
+ExpireEarlyPackets(State& aState, Base::TimePoint aNow);
+
 /// Expires idle flows, pins, load reports and upstreams, and records unanswered opening packets. To
 /// be called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
 void
