Keep the evacuated availability zones in the configuration state

Change.set_evacuation is validated and applied: operators number their requests and a repeated number gets the recorded outcome, control instances send no number. A change that changes nothing leaves revision and version as they are. Followers of the configuration feed do not look up recorded outcomes, because requests that changed nothing are in no revision and the outcome tables therefore differ.

--- a/src/libs/config/statemachine.cpp
+++ b/src/libs/config/statemachine.cpp
@@ -15,6 +15,9 @@
 /// Number of departures kept. The oldest is dropped first. An upstream is gone within minutes of
 /// its departure, long before 4096 others can depart.
 constexpr int kMaxDepartures = 4096;
+/// Number of availability zones that can be evacuated at the same time. It bounds the state if
+/// every name is accepted, and is far above the number of zones of a region.
+constexpr int kMaxEvacuatedZones = 256;
 constexpr uint64_t kOutcomeLifetimeMs = 24ULL * 60 * 60 * 1000;
 
 const lw::config::RecordedOutcome*
@@ -195,6 +198,55 @@
   return Base::ConfigVersion(aState.version());
 }
 
+/// Adds or removes the availability zone. A change that changes nothing is accepted and increases
+/// neither the revision nor the version.
+absl::Status
+SetEvacuation(lw::config::State& aState, const lw::config::ZoneEvacuation& aEvacuation)
+{
+  const std::string& zone = aEvacuation.availability_zone();
+  const auto& current = aState.evacuations().availability_zones();
+  const auto position = std::lower_bound(current.begin(), current.end(), zone);
+  const bool isEvacuated = position != current.end() && *position == zone;
+  if (isEvacuated == aEvacuation.evacuated()) {
+    return absl::OkStatus();
+  }
+  if (aEvacuation.evacuated() && current.size() >= kMaxEvacuatedZones) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("at most ", kMaxEvacuatedZones, " availability zones can be evacuated"));
+  }
+  const auto index = static_cast<int>(position - current.begin());
+  lw::config::Evacuations* evacuations = aState.mutable_evacuations();
+  auto* zones = evacuations->mutable_availability_zones();
+  if (aEvacuation.evacuated()) {
+    *zones->Add() = zone;
+    std::rotate(zones->begin() + index, zones->end() - 1, zones->end());
+  } else {
+    zones->DeleteSubrange(index, 1);
+  }
+  evacuations->set_revision(evacuations->revision() + 1);
+  aState.set_version(aState.version() + 1);
+  return absl::OkStatus();
+}
+
+/// Applies an evacuation of an operator or of a control instance. Only requests of operators are
+/// numbered.
+absl::StatusOr<Base::ConfigVersion>
+ApplyEvacuation(lw::config::State& aState,
+                const lw::config::Change& aChange,
+                uint64_t aAcceptedAtMs)
+{
+  const absl::Status applied = SetEvacuation(aState, aChange.set_evacuation());
+  if (!applied.ok()) {
+    return applied;
+  }
+  if (aChange.request_number() != 0) {
+    // Also recorded if nothing changed. Otherwise a late copy would undo a change that was accepted
+    // in between.
+    RecordOutcome(aState, aChange, aAcceptedAtMs);
+  }
+  return Base::ConfigVersion(aState.version());
+}
+
 absl::Status
 ApplyAction(lw::config::State& aState, const lw::config::Change& aChange)
 {
@@ -204,15 +256,10 @@
   return DeleteService(aState, aChange.delete_service());
 }
 
-} // namespace
-
+/// Applies a valid change that is not a resend.
 absl::StatusOr<Base::ConfigVersion>
-ApplyChange(lw::config::State& aState, const lw::config::Change& aChange, uint64_t aAcceptedAtMs)
+ApplyNewChange(lw::config::State& aState, const lw::config::Change& aChange, uint64_t aAcceptedAtMs)
 {
-  const absl::Status valid = ValidateChange(aChange);
-  if (!valid.ok()) {
-    return valid;
-  }
   if (aChange.has_release_addresses()) {
     return ReleaseAddresses(aState, aChange.release_addresses());
   }
@@ -222,9 +269,8 @@
   if (aChange.has_depart()) {
     return RecordDeparture(aState, aChange.depart());
   }
-  const lw::config::RecordedOutcome* outcome = FindOutcome(aState, aChange);
-  if (outcome != nullptr) {
-    return Base::ConfigVersion(outcome->version());
+  if (aChange.has_set_evacuation()) {
+    return ApplyEvacuation(aState, aChange, aAcceptedAtMs);
   }
   if (aChange.base_version() != aState.version()) {
     return absl::AbortedError(absl::StrCat("change starts from version ",
@@ -241,6 +287,23 @@
   return Base::ConfigVersion(aState.version());
 }
 
+} // namespace
+
+absl::StatusOr<Base::ConfigVersion>
+ApplyChange(lw::config::State& aState, const lw::config::Change& aChange, uint64_t aAcceptedAtMs)
+{
+  const absl::Status valid = ValidateChange(aChange);
+  if (!valid.ok()) {
+    return valid;
+  }
+  const lw::config::RecordedOutcome* outcome =
+    aChange.request_number() == 0 ? nullptr : FindOutcome(aState, aChange);
+  if (outcome != nullptr) {
+    return Base::ConfigVersion(outcome->version());
+  }
+  return ApplyNewChange(aState, aChange, aAcceptedAtMs);
+}
+
 absl::Status
 ApplyRevision(lw::config::State& aState, const lw::config::Revision& aRevision)
 {
@@ -248,7 +311,13 @@
     return absl::OutOfRangeError(absl::StrCat(
       "revision ", aRevision.version(), " does not follow version ", aState.version()));
   }
-  return ApplyChange(aState, aRevision.change(), aRevision.accepted_at_ms()).status();
+  const absl::Status valid = ValidateChange(aRevision.change());
+  if (!valid.ok()) {
+    return valid;
+  }
+  // Recorded outcomes are not consulted. Those of evacuations that changed nothing are not in any
+  // revision, so the control instances may drop an older outcome before this instance does.
+  return ApplyNewChange(aState, aRevision.change(), aRevision.accepted_at_ms()).status();
 }
 
 } // namespace Config
--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -1,6 +1,7 @@
 #include "config/validation.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "base/endpoint.h"
 
 #include <set>
@@ -107,6 +108,23 @@
   return status.ok() ? ValidateClients(aService) : status;
 }
 
+absl::Status
+ValidateEvacuation(const lw::config::Change& aChange)
+{
+  if (aChange.base_version() != 0) {
+    return InvalidField("base_version", "must not be set for an evacuation");
+  }
+  const bool isControlOperator = aChange.operator_id() == kControlOperatorId;
+  if (isControlOperator && aChange.request_number() != 0) {
+    return InvalidField("request_number", "must not be set by a control instance");
+  }
+  if (!isControlOperator && aChange.request_number() == 0) {
+    return InvalidField("request_number", "must be at least 1");
+  }
+  return ValidateName("set_evacuation.availability_zone",
+                      aChange.set_evacuation().availability_zone());
+}
+
 bool
 IsControlAction(const lw::config::Change& aChange)
 {
@@ -164,6 +182,20 @@
   return absl::OkStatus();
 }
 
+absl::Status
+CheckAvailabilityZone(const KnownAvailabilityZones& aKnown,
+                      const lw::config::ZoneEvacuation& aEvacuation)
+{
+  if (!aKnown.has_value() || aKnown->count(aEvacuation.availability_zone()) != 0) {
+    return absl::OkStatus();
+  }
+  return InvalidField("set_evacuation.availability_zone",
+                      absl::StrCat("names the unknown availability zone \"",
+                                   aEvacuation.availability_zone(),
+                                   "\"; known are: ",
+                                   absl::StrJoin(*aKnown, ", ")));
+}
+
 absl::Status
 ValidateChange(const lw::config::Change& aChange)
 {
@@ -171,6 +203,9 @@
   if (!operatorId.ok()) {
     return operatorId;
   }
+  if (aChange.has_set_evacuation()) {
+    return ValidateEvacuation(aChange);
+  }
   const bool isControlOperator = aChange.operator_id() == kControlOperatorId;
   if (isControlOperator != IsControlAction(aChange)) {
     return InvalidField("operator_id",
--- a/src/libs/config/validation.h
+++ b/src/libs/config/validation.h
@@ -4,6 +4,10 @@
 
 #include "config.pb.h"
 
+#include <optional>
+#include <set>
+#include <string>
+
 namespace Config {
 
 /// Operator id of changes that the control instances propose themselves.
@@ -17,6 +21,14 @@
 absl::Status
 ValidateDeclaration(const lw::config::Declaration& aDeclaration);
 
+/// Names of the availability zones of a deployment, or std::nullopt if every name is accepted.
+using KnownAvailabilityZones = std::optional<std::set<std::string>>;
+
+/// \return OK, or InvalidArgument if the change is about an availability zone that is not known.
+absl::Status
+CheckAvailabilityZone(const KnownAvailabilityZones& aKnown,
+                      const lw::config::ZoneEvacuation& aEvacuation);
+
 /// Validates the fields of a change independently of the current state.
 /// \return OK, or InvalidArgument with the path of the invalid field.
 absl::Status
