--- a/src/libs/fleet/directoryservice.cpp
+++ b/src/libs/fleet/directoryservice.cpp
@@ -84,6 +84,9 @@
   if (aPoll.wants_routes() && reply.declared_version() > aPoll.declared_version()) {
     *reply.mutable_routes() = Directory::UpdateFrom(mRoutes, aPoll.declared_version());
   }
+  if (mEvacuations.revision() > aPoll.evacuation_revision()) {
+    *reply.mutable_evacuations() = mEvacuations;
+  }
   for (const Base::InstanceId instance : mLog.Members()) {
     reply.add_control_instances(instance.mValue);
   }
@@ -139,6 +142,7 @@
   }
   Directory::RemoveDepartedUpstreams(mTable, state, aNow);
   Directory::AddVersion(mRoutes, state.declaration());
+  mEvacuations = state.evacuations();
 }
 
 void
--- a/src/libs/fleet/directoryservice.h
+++ b/src/libs/fleet/directoryservice.h
@@ -82,11 +82,12 @@
   const DirectoryServiceSettings mSettings;
   mutable std::mutex mMutex;
   Directory::AnnouncementTable mTable;
-  /// Version of the store that mTable and mRoutes reflect.
+  /// Version of the store that mTable, mRoutes and mEvacuations reflect.
   uint64_t mStoreVersion = 0;
   Base::TimePoint mNextExpiry;
   bool mWasConnected = false;
   Directory::RouteHistory mRoutes;
+  lw::config::Evacuations mEvacuations;
   std::map<uint32_t, Poller> mPollers;
   std::map<std::string, Peers> mPeersByZone;
   lw::fleet::PollReply mRestored;
--- a/tests/auto/fleet/tst_directoryservice.cpp
+++ b/tests/auto/fleet/tst_directoryservice.cpp
@@ -49,6 +49,15 @@
     return mService.Answer(poll);
   }
 
+  void SetEvacuation(const char* aZone, bool aEvacuated)
+  {
+    lw::config::Change change;
+    change.set_operator_id(Config::kControlOperatorId);
+    change.mutable_set_evacuation()->set_availability_zone(aZone);
+    change.mutable_set_evacuation()->set_evacuated(aEvacuated);
+    CHECK_TRUE(mStore.ApplyCommand(Config::MakeCommand(change, 1)).ok());
+  }
+
   void Commit(uint64_t aDeparted)
   {
     lw::config::Change change;
@@ -89,6 +98,43 @@
   LONGS_EQUAL(0, Poll(1, Poll(1).directory_revision()).upstreams_size());
 }
 
+// Guards against an entry instance that does not learn of an evacuation or of its end, and against
+// lists in every reply.
+TEST(DirectoryService, EvacuationsAreSentToPollersWithALowerRevision)
+{
+  lw::fleet::Poll poll;
+  poll.set_instance(1);
+  CHECK_FALSE(mService.Answer(poll).has_evacuations());
+  SetEvacuation("zone-b", true);
+  SetEvacuation("zone-a", true);
+  const lw::config::Evacuations both = mService.Answer(poll).evacuations();
+  LONGS_EQUAL(2, both.revision());
+  STRCMP_EQUAL("zone-a", both.availability_zones(0).c_str());
+  STRCMP_EQUAL("zone-b", both.availability_zones(1).c_str());
+  poll.set_evacuation_revision(1);
+  LONGS_EQUAL(2, mService.Answer(poll).evacuations().revision());
+  poll.set_evacuation_revision(2);
+  CHECK_FALSE(mService.Answer(poll).has_evacuations());
+  // The last end has to reach the entry instances as well, although the list is then empty.
+  SetEvacuation("zone-a", false);
+  SetEvacuation("zone-b", false);
+  const lw::fleet::PollReply ended = mService.Answer(poll);
+  CHECK_TRUE(ended.has_evacuations());
+  LONGS_EQUAL(4, ended.evacuations().revision());
+  LONGS_EQUAL(0, ended.evacuations().availability_zones_size());
+}
+
+// Guards against a control instance that lags and reports its older list to an entry instance that
+// has a newer one.
+TEST(DirectoryService, OlderEvacuationsAreNotSent)
+{
+  SetEvacuation("zone-a", true);
+  lw::fleet::Poll poll;
+  poll.set_instance(1);
+  poll.set_evacuation_revision(5);
+  CHECK_FALSE(mService.Answer(poll).has_evacuations());
+}
+
 // Guards against restored upstreams that are used before the log is connected, when their
 // departures may not be known yet.
 TEST(DirectoryService, RestoredUpstreamsWaitForTheLog)
