Accept evacuation calls over HTTP and gRPC

A copy of a call that a partition delays must not undo a later call, so a call whose requester has closed its connection is not proposed. The setting availability_zones names the zones that are accepted.

--- a/src/libs/control/controlsettings.cpp
+++ b/src/libs/control/controlsettings.cpp
@@ -99,6 +99,7 @@
 {
   aSettings.mInstance = ReadInstance(aReader);
   aSettings.mAvailabilityZone = aReader.String("availability_zone");
+  aSettings.mAvailabilityZones = aReader.OptionalKeys("availability_zones");
   aSettings.mOperatorListen = aReader.Endpoint("operator_listen");
   aSettings.mFeedListen = aReader.Endpoint("feed_listen");
   aSettings.mDataDirectory = aReader.String("data_directory");
--- a/src/libs/control/controlsettings.h
+++ b/src/libs/control/controlsettings.h
@@ -4,6 +4,7 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/runtimeclock.h"
+#include "config/validation.h"
 #include "consensus/node.h"
 #include "settings/reader.h"
 
@@ -27,6 +28,8 @@
 {
   Base::InstanceId mInstance;
   std::string mAvailabilityZone;
+  /// Availability zones that can be evacuated.
+  Config::KnownAvailabilityZones mAvailabilityZones;
   /// Listen address of the gRPC interface for operators.
   Base::Endpoint mOperatorListen;
   /// Listen address of the ZeroMQ configuration feed.
--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -99,9 +99,12 @@
 }
 
 void
-LogDriver::Apply(const lw::config::Change& aChange, FinishCallback aFinish)
+LogDriver::Apply(const lw::config::Change& aChange,
+                 FinishCallback aFinish,
+                 WithdrawalCheck aIsWithdrawn)
 {
-  mQueue.Submit(Config::MakeCommand(aChange, WallClockMs()), std::move(aFinish));
+  mQueue.Submit(
+    Config::MakeCommand(aChange, WallClockMs()), std::move(aFinish), std::move(aIsWithdrawn));
 }
 
 void
@@ -215,6 +218,10 @@
   std::vector<RequestPtr> changes;
   std::vector<RequestPtr> reads;
   for (RequestPtr& request : mQueue.Take()) {
+    if (request->mIsWithdrawn && request->mIsWithdrawn()) {
+      request->mFinish({ absl::CancelledError("the requester has withdrawn the change"), {}, 0 });
+      continue;
+    }
     (request->mCommand.empty() ? reads : changes).push_back(std::move(request));
   }
   if (!changes.empty()) {
--- a/src/libs/control/logdriver.h
+++ b/src/libs/control/logdriver.h
@@ -42,7 +42,11 @@
   ChangeOutcome Apply(const lw::config::Change& aChange, Base::Duration aLimit);
 
   /// Proposes a change without waiting.
-  void Apply(const lw::config::Change& aChange, FinishCallback aFinish);
+  /// \param aIsWithdrawn may be empty. If it returns true, the change is not proposed and its
+  /// outcome is Cancelled.
+  void Apply(const lw::config::Change& aChange,
+             FinishCallback aFinish,
+             WithdrawalCheck aIsWithdrawn = {});
 
   /// Calls aFinish once the store contains everything that was acknowledged before the call.
   void ConfirmRead(FinishCallback aFinish);
--- a/src/libs/control/requestqueue.cpp
+++ b/src/libs/control/requestqueue.cpp
@@ -60,13 +60,13 @@
 }
 
 void
-RequestQueue::Submit(std::string aCommand, FinishCallback aFinish)
+RequestQueue::Submit(std::string aCommand, FinishCallback aFinish, WithdrawalCheck aIsWithdrawn)
 {
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     if (!mClosed && mRequests.size() < kMaxRequests) {
-      mRequests.push_back(
-        std::make_shared<Request>(Request{ std::move(aCommand), std::move(aFinish) }));
+      mRequests.push_back(std::make_shared<Request>(
+        Request{ std::move(aCommand), std::move(aFinish), std::move(aIsWithdrawn) }));
       const uint64_t one = 1;
       if (write(mDescriptor, &one, sizeof(one)) < 0) {
         LOG(WARNING) << "[control] Cannot wake up the log thread: " << std::strerror(errno) << ".";
--- a/src/libs/control/requestqueue.h
+++ b/src/libs/control/requestqueue.h
@@ -26,11 +26,17 @@
 /// immediately.
 using FinishCallback = std::function<void(const ChangeOutcome&)>;
 
+/// Returns true if the requester no longer waits for the outcome. Called on the log thread.
+using WithdrawalCheck = std::function<bool()>;
+
 /// A request of an operator: a change, or a read if mCommand is empty.
 struct Request
 {
   std::string mCommand;
   FinishCallback mFinish;
+  /// Evaluated directly before the proposal. A withdrawn change is not proposed and finishes with
+  /// Cancelled. May be empty.
+  WithdrawalCheck mIsWithdrawn;
 };
 
 using RequestPtr = std::shared_ptr<Request>;
@@ -51,7 +57,7 @@
 
   /// Queues a request without waiting.
   /// \param aFinish is called with Unavailable immediately if the queue is full or closed.
-  void Submit(std::string aCommand, FinishCallback aFinish);
+  void Submit(std::string aCommand, FinishCallback aFinish, WithdrawalCheck aIsWithdrawn = {});
 
   /// Removes all queued requests. The caller must call mFinish of each one.
   /// \return the requests in order of arrival.
--- a/src/libs/settings/reader.cpp
+++ b/src/libs/settings/reader.cpp
@@ -242,6 +242,24 @@
   return endpoints;
 }
 
+std::optional<std::set<std::string>>
+Reader::OptionalKeys(const std::string& aKey)
+{
+  const nlohmann::json* value = Find(aKey, false);
+  if (value == nullptr || value->is_null()) {
+    return std::nullopt;
+  }
+  std::set<std::string> keys;
+  if (!value->is_object()) {
+    Fail(aKey, "must be an object or null");
+    return keys;
+  }
+  for (const auto& item : value->items()) {
+    keys.insert(item.key());
+  }
+  return keys;
+}
+
 Reader
 Reader::Object(const std::string& aKey)
 {
--- a/src/libs/settings/reader.h
+++ b/src/libs/settings/reader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
   Base::Endpoint Endpoint(const std::string& aKey);
   std::vector<Base::Endpoint> Endpoints(const std::string& aKey);
   std::vector<std::string> Strings(const std::string& aKey);
+  /// \return the keys of a JSON object, or std::nullopt if the setting is null or missing.
+  std::optional<std::set<std::string>> OptionalKeys(const std::string& aKey);
   Reader Object(const std::string& aKey);
   std::vector<Reader> Objects(const std::string& aKey);
 
--- a/src/tools/control/main.cpp
+++ b/src/tools/control/main.cpp
@@ -45,7 +45,7 @@
   Control::ConfigStore store(aSettings.mReportWindow);
   Control::LogDriver log(aSettings, store, Program::RandomSeed());
   Control::FeedServer feed(store, log, aSettings.mFeedListen);
-  Control::OperatorService service(store, log);
+  Control::OperatorService service(store, log, aSettings.mAvailabilityZones);
   absl::Status status = log.Start();
   if (status.ok()) {
     status = feed.Start();
--- a/src/tools/control/operatorservice.cpp
+++ b/src/tools/control/operatorservice.cpp
@@ -1,10 +1,9 @@
 #include "operatorservice.h"
 
-#include "config/validation.h"
-
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <utility>
 
 namespace Control {
 
@@ -26,9 +25,12 @@
 
 } // namespace
 
-OperatorService::OperatorService(const ConfigStore& aStore, LogDriver& aLog)
+OperatorService::OperatorService(const ConfigStore& aStore,
+                                 LogDriver& aLog,
+                                 Config::KnownAvailabilityZones aAvailabilityZones)
   : mStore(aStore)
   , mLog(aLog)
+  , mAvailabilityZones(std::move(aAvailabilityZones))
 {
 }
 
@@ -64,6 +66,12 @@
   if (valid.ok() && aChange->has_release_addresses()) {
     valid = absl::InvalidArgumentError("release_addresses is reserved for control instances");
   }
+  if (valid.ok() && aChange->has_set_evacuation()) {
+    valid = aChange->operator_id() == Config::kControlOperatorId
+              ? absl::InvalidArgumentError(
+                  "evacuations of operator \"lw-control\" are reserved for control instances")
+              : Config::CheckAvailabilityZone(mAvailabilityZones, aChange->set_evacuation());
+  }
   if (!valid.ok()) {
     return ToGrpcStatus(valid, 0);
   }
--- a/src/tools/control/operatorservice.h
+++ b/src/tools/control/operatorservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
+#include "config/validation.h"
 #include "control/configstore.h"
 #include "control/logdriver.h"
 
@@ -14,7 +15,9 @@
 class OperatorService final : public lw::operator_api::Operator::Service
 {
 public:
-  OperatorService(const ConfigStore& aStore, LogDriver& aLog);
+  OperatorService(const ConfigStore& aStore,
+                  LogDriver& aLog,
+                  Config::KnownAvailabilityZones aAvailabilityZones);
 
   grpc::Status Apply(grpc::ServerContext* aContext,
                      const lw::config::Change* aChange,
@@ -34,6 +37,7 @@
 
   const ConfigStore& mStore;
   LogDriver& mLog;
+  const Config::KnownAvailabilityZones mAvailabilityZones;
 };
 
 } // namespace Control
--- a/tests/auto/control/controlcluster.cpp
+++ b/tests/auto/control/controlcluster.cpp
@@ -110,6 +110,7 @@
   settings["snapshot_interval"] = 100;
   settings["heartbeat_ms"] = 50;
   settings["election_timeout_ms"] = 500;
+  settings["availability_zones"] = { { "zone-1", "region" }, { "zone-2", "region" } };
   for (const auto& [instance, ports] : mPorts) {
     settings["instances"].push_back({ { "instance", instance },
                                       { "peer_address", Loopback(ports.mPeer) },
--- a/tests/auto/control/tst_operators.cpp
+++ b/tests/auto/control/tst_operators.cpp
@@ -17,6 +17,17 @@
   return change;
 }
 
+lw::config::Change
+MakeEvacuation(const std::string& aZone, bool aEvacuated, uint64_t aRequest)
+{
+  lw::config::Change change;
+  change.set_operator_id("tester");
+  change.set_request_number(aRequest);
+  change.mutable_set_evacuation()->set_availability_zone(aZone);
+  change.mutable_set_evacuation()->set_evacuated(aEvacuated);
+  return change;
+}
+
 lw::operator_api::ErrorDetail
 DetailOf(const grpc::Status& aStatus)
 {
@@ -80,3 +91,36 @@
   LONGS_EQUAL(grpc::StatusCode::INVALID_ARGUMENT,
               mCluster.Apply(leader, release, version).error_code());
 }
+
+// Guards against evacuations that depend on a base version, copies of a request that undo a later
+// one, and acknowledged evacuations of zones that do not exist.
+TEST(Operators, EvacuationsAreNumberedAndNeedNoBaseVersion)
+{
+  uint64_t version = 0;
+  CHECK_TRUE(mCluster.ApplyUntilKnown(MakeChange(0, 1, "a"), version).ok());
+  const lw::config::Change begin = MakeEvacuation("zone-2", true, 2);
+  CHECK_TRUE(mCluster.ApplyUntilKnown(begin, version).ok());
+  LONGS_EQUAL(2, version);
+  CHECK_TRUE(mCluster.ApplyUntilKnown(MakeEvacuation("zone-2", false, 3), version).ok());
+  LONGS_EQUAL(3, version);
+  CHECK_TRUE(mCluster.ApplyUntilKnown(begin, version).ok());
+  LONGS_EQUAL(2, version);
+  const lw::config::State state = mCluster.ReadFromLeader();
+  LONGS_EQUAL(2, state.evacuations().revision());
+  LONGS_EQUAL(0, state.evacuations().availability_zones_size());
+  const grpc::Status unknown =
+    mCluster.Apply(mCluster.WaitForLeader(), MakeEvacuation("zone-9", true, 4), version);
+  LONGS_EQUAL(grpc::StatusCode::INVALID_ARGUMENT, unknown.error_code());
+  STRCMP_CONTAINS("\"zone-9\"; known are: zone-1, zone-2", unknown.error_message().c_str());
+  STRCMP_EQUAL("set_evacuation.availability_zone", DetailOf(unknown).fields(0).path().c_str());
+}
+
+// Guards against operators whose unnumbered evacuations could not be told from late copies.
+TEST(Operators, EvacuationsOfTheControlInstancesAreReserved)
+{
+  lw::config::Change change = MakeEvacuation("zone-2", true, 0);
+  change.set_operator_id("lw-control");
+  uint64_t version = 0;
+  LONGS_EQUAL(grpc::StatusCode::INVALID_ARGUMENT,
+              mCluster.Apply(mCluster.WaitForLeader(), change, version).error_code());
+}
--- a/tests/auto/platform/tst_controlapi.cpp
+++ b/tests/auto/platform/tst_controlapi.cpp
@@ -33,13 +33,14 @@
 // Control interface of an instance whose log is not running. Only calls that need no log are sent.
 TEST_GROUP(ControlApi)
 {
+  boost::asio::io_context mContext;
   Control::ControlSettings mSettings;
   Control::ConfigStore mStore{ std::chrono::hours(1) };
   Control::LogDriver mLog{ mSettings, mStore, 1 };
   Fleet::DirectoryService mDirectory{ mStore, mLog, {} };
   EventLog::Log mEvents{ {} };
   Metrics::Registry mMetrics;
-  Platform::ControlApi mApi{ {}, mStore, mLog, mDirectory, mEvents, mMetrics };
+  Platform::ControlApi mApi{ mContext, {}, mStore, mLog, mDirectory, mEvents, mMetrics };
 
   Platform::HttpResponse Call(const Platform::HttpRequest& aRequest)
   {
--- a/tests/auto/platform/tst_httpserver.cpp
+++ b/tests/auto/platform/tst_httpserver.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -15,6 +17,16 @@
 
 const Base::Endpoint kListen{ 0x7f000001, 28741 };
 
+bool
+BecomesTrue(const std::function<bool()>& aCondition)
+{
+  constexpr int kAttempts = 1000;
+  for (int attempt = 0; attempt < kAttempts && !aCondition(); ++attempt) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return aCondition();
+}
+
 } // namespace
 
 // Runs a server in its own thread that echoes the body of each request.
@@ -63,6 +75,43 @@
   STRCMP_CONTAINS("\r\n\r\nbody", response.c_str());
 }
 
+// Guards against handlers that take a call for current although its requester has given up, and
+// against calls of waiting requesters that count as given up.
+TEST(HttpServer, TellsWhetherTheRequesterClosedTheConnection)
+{
+  const struct
+  {
+    const char* mName;
+    bool mCloses;
+  } rows[] = { { "open", false }, { "closed", true } };
+  for (const auto& row : rows) {
+    asio::io_context context;
+    std::function<bool()> isClosed;
+    Platform::ResponseCallback respond;
+    Platform::HttpServer server(
+      context,
+      [&](const Platform::HttpRequest& aRequest, const Platform::ResponseCallback& aRespond) {
+        isClosed = aRequest.mIsClosed;
+        respond = aRespond;
+      });
+    const Base::Endpoint listen{ kListen.mAddress, 28742 };
+    CHECK_TRUE(server.Listen(listen).ok());
+    asio::io_context clientContext;
+    asio::ip::tcp::socket socket(clientContext);
+    socket.connect({ asio::ip::address_v4(listen.mAddress), listen.mPort });
+    asio::write(socket, asio::buffer(std::string("POST /x HTTP/1.1\r\n\r\n")));
+    if (row.mCloses) {
+      socket.close();
+    }
+    while (!isClosed) {
+      context.run_one();
+    }
+    CHECK_TRUE_TEXT(row.mCloses || !isClosed(), row.mName);
+    socket.close();
+    CHECK_TRUE_TEXT(BecomesTrue(isClosed), row.mName);
+  }
+}
+
 // Guards against malformed requests that get no response or stop the server.
 TEST(HttpServer, RejectsMalformedRequests)
 {
--- a/tests/auto/platform/tst_platformsettings.cpp
+++ b/tests/auto/platform/tst_platformsettings.cpp
@@ -72,6 +72,33 @@
   CHECK_FALSE(other.mControl.mConsensus.mCanFormCluster);
 }
 
+// Guards against a control instance that does not start, or that accepts no or any name, with the
+// forms of the list that the platform may write.
+TEST(PlatformSettings, AvailabilityZonesAreTheKeysOfAnObject)
+{
+  Platform::ControlSettings absent;
+  CHECK_TRUE(ReadControl(mControl, absent).ok());
+  CHECK_FALSE(absent.mControl.mAvailabilityZones.has_value());
+  mControl["availability_zones"] = nullptr;
+  Platform::ControlSettings null;
+  CHECK_TRUE(ReadControl(mControl, null).ok());
+  CHECK_FALSE(null.mControl.mAvailabilityZones.has_value());
+  mControl["availability_zones"] = { { "liman-depot", "liman" }, { "carsi-hall", "liman" } };
+  Platform::ControlSettings named;
+  CHECK_TRUE(ReadControl(mControl, named).ok());
+  CHECK_TRUE(*named.mControl.mAvailabilityZones ==
+             std::set<std::string>({ "carsi-hall", "liman-depot" }));
+  for (const nlohmann::json& invalid : { nlohmann::json("carsi-hall"),
+                                         nlohmann::json::array({ "carsi-hall" }),
+                                         nlohmann::json(3) }) {
+    mControl["availability_zones"] = invalid;
+    Platform::ControlSettings settings;
+    const absl::Status status = ReadControl(mControl, settings);
+    STRCMP_CONTAINS("\"availability_zones\" must be an object or null",
+                    std::string(status.message()).c_str());
+  }
+}
+
 // Guards against invalid settings that are detected only when they are used.
 TEST(PlatformSettings, RejectsInvalidSettingsWithTheirKey)
 {
