--- a/src/tools/lwctl/commands.cpp
+++ b/src/tools/lwctl/commands.cpp
@@ -56,18 +56,10 @@
   return (static_cast<uint64_t>(device()) << 31U) | device() | 1U;
 }
 
+/// Sends a change whose base version is already set, if it needs one.
 int
-ApplyChange(const Options& aOptions, lw::config::Change& aChange)
+SendChange(const Options& aOptions, lw::config::Change& aChange)
 {
-  if (aOptions.mBaseVersion >= 0) {
-    aChange.set_base_version(static_cast<uint64_t>(aOptions.mBaseVersion));
-  } else {
-    const absl::StatusOr<lw::config::State> state = Read(aOptions.mClient);
-    if (!state.ok()) {
-      return Fail(state.status());
-    }
-    aChange.set_base_version(state->version());
-  }
   aChange.set_operator_id(aOptions.mOperatorId);
   aChange.set_request_number(aOptions.mRequestNumber != 0 ? aOptions.mRequestNumber
                                                           : RandomRequestNumber());
@@ -80,6 +72,21 @@
   return Print(aOptions, reply, absl::StrCat("accepted in version ", *version, "\n"));
 }
 
+int
+ApplyChange(const Options& aOptions, lw::config::Change& aChange)
+{
+  if (aOptions.mBaseVersion >= 0) {
+    aChange.set_base_version(static_cast<uint64_t>(aOptions.mBaseVersion));
+  } else {
+    const absl::StatusOr<lw::config::State> state = Read(aOptions.mClient);
+    if (!state.ok()) {
+      return Fail(state.status());
+    }
+    aChange.set_base_version(state->version());
+  }
+  return SendChange(aOptions, aChange);
+}
+
 int
 RunApply(const Options& aOptions, const Arguments& aArguments)
 {
@@ -113,6 +120,43 @@
   return ApplyChange(aOptions, change);
 }
 
+int
+SetEvacuation(const Options& aOptions, const Arguments& aArguments, bool aEvacuated)
+{
+  if (aArguments.size() != 2) {
+    return Fail(
+      absl::InvalidArgumentError(absl::StrCat(aArguments[0], " takes one availability zone")));
+  }
+  if (aOptions.mBaseVersion >= 0) {
+    return Fail(
+      absl::InvalidArgumentError(absl::StrCat("--base_version does not apply to ", aArguments[0])));
+  }
+  lw::config::Change change;
+  change.mutable_set_evacuation()->set_availability_zone(aArguments[1]);
+  change.mutable_set_evacuation()->set_evacuated(aEvacuated);
+  return SendChange(aOptions, change);
+}
+
+int
+RunEvacuate(const Options& aOptions, const Arguments& aArguments)
+{
+  return SetEvacuation(aOptions, aArguments, true);
+}
+
+int
+RunReadmit(const Options& aOptions, const Arguments& aArguments)
+{
+  return SetEvacuation(aOptions, aArguments, false);
+}
+
+int
+RunEvacuations(const Options& aOptions, const Arguments& /*aArguments*/)
+{
+  const absl::StatusOr<lw::config::State> state = Read(aOptions.mClient);
+  return state.ok() ? Print(aOptions, state->evacuations(), EvacuationTable(state->evacuations()))
+                    : Fail(state.status());
+}
+
 int
 RunList(const Options& aOptions, const Arguments& /*aArguments*/)
 {
@@ -189,8 +233,11 @@
 Commands()
 {
   static const std::map<std::string, Command> sCommands{
-    { "apply", RunApply }, { "delete", RunDelete }, { "get", RunGet },   { "history", RunHistory },
-    { "list", RunList },   { "status", RunStatus }, { "wait", RunWait },
+    { "apply", RunApply },       { "delete", RunDelete },
+    { "evacuate", RunEvacuate }, { "evacuations", RunEvacuations },
+    { "get", RunGet },           { "history", RunHistory },
+    { "list", RunList },         { "readmit", RunReadmit },
+    { "status", RunStatus },     { "wait", RunWait },
   };
   return sCommands;
 }
@@ -214,6 +261,9 @@
   return "lwctl [flags] COMMAND\n"
          "  apply FILE     creates or changes the service that the JSON file describes\n"
          "  delete NAME    deletes a service\n"
+         "  evacuate ZONE  sends no more new flows to the upstreams of an availability zone\n"
+         "  readmit ZONE   ends the evacuation of an availability zone\n"
+         "  evacuations    prints the evacuated availability zones\n"
          "  get NAME       prints a service\n"
          "  list           prints all services\n"
          "  history        prints the accepted changes that are still stored\n"
--- a/src/tools/lwctl/output.cpp
+++ b/src/tools/lwctl/output.cpp
@@ -7,6 +7,28 @@
 
 namespace Lwctl {
 
+namespace {
+
+std::string
+ActionText(const lw::config::Change& aChange)
+{
+  switch (aChange.action_case()) {
+    case lw::config::Change::kPutService:
+      return absl::StrCat("put ", aChange.put_service().name());
+    case lw::config::Change::kDeleteService:
+      return absl::StrCat("delete ", aChange.delete_service());
+    case lw::config::Change::kSetEvacuation:
+      return absl::StrCat(aChange.set_evacuation().evacuated() ? "evacuate " : "readmit ",
+                          aChange.set_evacuation().availability_zone());
+    case lw::config::Change::kReleaseAddresses:
+      return "release addresses";
+    default:
+      return "other";
+  }
+}
+
+} // namespace
+
 std::string
 ToJson(const google::protobuf::Message& aMessage)
 {
@@ -39,6 +61,17 @@
   return table;
 }
 
+std::string
+EvacuationTable(const lw::config::Evacuations& aEvacuations)
+{
+  std::string table =
+    absl::StrFormat("revision %d\n%s\n", aEvacuations.revision(), "AVAILABILITY ZONE");
+  for (const std::string& zone : aEvacuations.availability_zones()) {
+    absl::StrAppend(&table, zone, "\n");
+  }
+  return table;
+}
+
 std::string
 HistoryTable(const lw::operator_api::HistoryReply& aHistory)
 {
@@ -46,15 +79,12 @@
     absl::StrFormat("%-8s %-16s %-10s %s\n", "VERSION", "OPERATOR", "REQUEST", "CHANGE");
   for (const lw::config::Revision& revision : aHistory.revisions()) {
     const lw::config::Change& change = revision.change();
-    const std::string action = change.has_put_service()
-                                 ? absl::StrCat("put ", change.put_service().name())
-                                 : absl::StrCat("delete ", change.delete_service());
     absl::StrAppendFormat(&table,
                           "%-8d %-16s %-10d %s\n",
                           revision.version(),
                           change.operator_id(),
                           change.request_number(),
-                          action);
+                          ActionText(change));
   }
   return table;
 }
--- a/src/tools/lwctl/output.h
+++ b/src/tools/lwctl/output.h
@@ -17,6 +17,10 @@
 std::string
 ServiceTable(const lw::config::State& aState);
 
+/// \return a table of the evacuated availability zones.
+std::string
+EvacuationTable(const lw::config::Evacuations& aEvacuations);
+
 /// \return a table of the accepted changes.
 std::string
 HistoryTable(const lw::operator_api::HistoryReply& aHistory);
