Read and distribute the cold-start rate limits of services

Operators state ColdStartS and ColdPerS for a service, but the control instances ignored them. The configuration document now reads them, the validation rejects unknown services, duplicates, and rates that are negative or not finite, and route updates carry them completely, in deltas too.

--- a/src/libs/config/validation.cpp
+++ b/src/libs/config/validation.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/endpoint.h"
 
+#include <cmath>
 #include <set>
 #include <string>
 #include <utility>
@@ -137,6 +138,30 @@
                           absl::StrCat("of \"", aRoute.name(), "\" have a total weight of 0"));
 }
 
+absl::Status
+ValidateColdStarts(const lw::config::Declaration& aDeclaration,
+                   const std::set<std::string>& aServices)
+{
+  std::set<std::string> limited;
+  for (const lw::config::ColdStart& coldStart : aDeclaration.cold_starts()) {
+    if (aServices.count(coldStart.service()) == 0) {
+      return InvalidField("cold_starts.service",
+                          absl::StrCat("refers to unknown service \"", coldStart.service(), "\""));
+    }
+    if (!limited.insert(coldStart.service()).second) {
+      return InvalidField("cold_starts.service",
+                          absl::StrCat("contains \"", coldStart.service(), "\" twice"));
+    }
+    const double rate = coldStart.requests_per_second();
+    if (!std::isfinite(rate) || rate < 0) {
+      return InvalidField(
+        "cold_starts.requests_per_second",
+        absl::StrCat("of \"", coldStart.service(), "\" must be finite and not negative"));
+    }
+  }
+  return absl::OkStatus();
+}
+
 } // namespace
 
 absl::Status
@@ -161,7 +186,7 @@
         "routes", absl::StrCat("\"", route.name(), "\" has the same address as another route"));
     }
   }
-  return absl::OkStatus();
+  return ValidateColdStarts(aDeclaration, services);
 }
 
 absl::Status
--- a/src/libs/directory/routehistory.cpp
+++ b/src/libs/directory/routehistory.cpp
@@ -52,6 +52,7 @@
   for (const lw::config::Route& route : aDeclaration.routes()) {
     *update.add_routes() = ToSteeringRoute(route);
   }
+  *update.mutable_cold_starts() = aDeclaration.cold_starts();
   aHistory.mVersions.push_back(std::move(update));
   if (aHistory.mVersions.size() > kMaxVersions) {
     aHistory.mVersions.pop_front();
@@ -76,6 +77,7 @@
     update.set_version(newest.version());
     update.set_base_version(aVersion);
     update.set_max_flow_idle_ms(newest.max_flow_idle_ms());
+    *update.mutable_cold_starts() = newest.cold_starts();
     RoutesByKey before = IndexByKey(base);
     for (const lw::config::Route& route : newest.routes()) {
       const auto known = before.find({ route.address(), route.port() });
--- a/tests/auto/config/tst_declaration.cpp
+++ b/tests/auto/config/tst_declaration.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+
 namespace {
 
 lw::config::Declaration
@@ -99,6 +101,35 @@
   LONGS_EQUAL(0, mState.version());
 }
 
+// Guards against a rate limit for another service than the operator meant, and against a rate that
+// the entry instances can't apply.
+TEST(Declaration, InvalidColdStartsAreRefused)
+{
+  const struct
+  {
+    const char* mService;
+    double mRate;
+    bool mValid;
+  } rows[] = { { "desk", 0, true },
+               { "desk", 0.5, true },
+               { "other", 1, false },
+               { "", 1, false },
+               { "desk", -0.1, false },
+               { "desk", std::numeric_limits<double>::infinity(), false },
+               { "desk", std::numeric_limits<double>::quiet_NaN(), false } };
+  for (const auto& row : rows) {
+    lw::config::Declaration declaration = MakeDeclaration(1);
+    lw::config::ColdStart* coldStart = declaration.add_cold_starts();
+    coldStart->set_service(row.mService);
+    coldStart->set_requests_per_second(row.mRate);
+    LONGS_EQUAL(row.mValid, Config::ValidateDeclaration(declaration).ok());
+  }
+  lw::config::Declaration declaration = MakeDeclaration(1);
+  declaration.add_cold_starts()->set_service("desk");
+  declaration.add_cold_starts()->set_service("desk");
+  CHECK_FALSE(Config::ValidateDeclaration(declaration).ok());
+}
+
 // Guards against recording a departure again with each call of the upstream, and against operators
 // that propose changes reserved for control instances.
 TEST(Declaration, DepartureIsRecordedOnce)
--- a/tests/auto/directory/tst_routehistory.cpp
+++ b/tests/auto/directory/tst_routehistory.cpp
@@ -54,6 +54,34 @@
   LONGS_EQUAL(1, Directory::UpdateFrom(mHistory, 3).routes_size());
 }
 
+// Guards against a cold-start rate limit that entry instances do not learn of, or that they keep
+// after it was removed, because they get deltas only.
+TEST(RouteHistory, ColdStartsAreAlwaysComplete)
+{
+  lw::config::Declaration declaration = MakeDeclaration(3, { 1 });
+  Directory::AddVersion(mHistory, declaration);
+  declaration.set_version(4);
+  lw::config::ColdStart* coldStart = declaration.add_cold_starts();
+  coldStart->set_service("desk");
+  coldStart->set_duration_ms(9000);
+  coldStart->set_requests_per_second(2.5);
+  Directory::AddVersion(mHistory, declaration);
+  declaration.set_version(5);
+  Directory::AddVersion(mHistory, declaration);
+  for (const uint64_t base : { 0, 3, 4 }) {
+    const lw::fleet::RouteUpdate update = Directory::UpdateFrom(mHistory, base);
+    LONGS_EQUAL(base, update.base_version());
+    LONGS_EQUAL(1, update.cold_starts_size());
+    STRCMP_EQUAL("desk", update.cold_starts(0).service().c_str());
+    LONGS_EQUAL(9000, update.cold_starts(0).duration_ms());
+    DOUBLES_EQUAL(2.5, update.cold_starts(0).requests_per_second(), 0);
+  }
+  declaration.set_version(6);
+  declaration.clear_cold_starts();
+  Directory::AddVersion(mHistory, declaration);
+  LONGS_EQUAL(0, Directory::UpdateFrom(mHistory, 5).cold_starts_size());
+}
+
 // Guards against a delta from an unknown version, and against a history that accepts an older
 // version.
 TEST(RouteHistory, UnknownVersionGetsAllRoutes)
--- a/tests/auto/platform/tst_documents.cpp
+++ b/tests/auto/platform/tst_documents.cpp
@@ -113,6 +113,51 @@
   STRCMP_EQUAL(kConfig, config->document().c_str());
 }
 
+// Guards against a rate limit that is lost or rounded, or that applies to a service without one.
+TEST(Documents, ReadsColdStarts)
+{
+  const char* service = R"("Name":"x",)";
+  const auto limited = Platform::ParseConfig(
+    Replace(kConfig, service, R"("Name":"x","ColdStartS":9.5,"ColdPerS":2.5,)"));
+  CHECK_TRUE(limited.ok());
+  CHECK_TRUE(Config::ValidateDeclaration(*limited).ok());
+  LONGS_EQUAL(2, limited->services_size());
+  LONGS_EQUAL(1, limited->cold_starts_size());
+  STRCMP_EQUAL("x", limited->cold_starts(0).service().c_str());
+  LONGS_EQUAL(9500, limited->cold_starts(0).duration_ms());
+  DOUBLES_EQUAL(2.5, limited->cold_starts(0).requests_per_second(), 0);
+  for (const char* fields : { R"("Name":"x",)",
+                              R"("Name":"x","ColdStartS":0,"ColdPerS":0,)",
+                              R"("Name":"x","ColdStartS":9,)",
+                              R"("Name":"x","ColdStartS":9,"ColdPerS":0.0,)" }) {
+    const auto unlimited = Platform::ParseConfig(Replace(kConfig, service, fields));
+    CHECK_TRUE_TEXT(unlimited.ok(), fields);
+    for (const lw::config::ColdStart& coldStart : unlimited->cold_starts()) {
+      DOUBLES_EQUAL(0, coldStart.requests_per_second(), 0);
+    }
+  }
+}
+
+// Guards against rate limits that are accepted and acknowledged but mean something else.
+TEST(Documents, RejectsInvalidColdStarts)
+{
+  for (const char* fields : { R"("ColdPerS":-1)",
+                              R"("ColdPerS":-0.5)",
+                              R"("ColdPerS":"2")",
+                              R"("ColdPerS":null)",
+                              R"("ColdPerS":true)",
+                              R"("ColdPerS":[2])",
+                              R"("ColdPerS":1e999)",
+                              R"("ColdStartS":-1,"ColdPerS":1)",
+                              R"("ColdStartS":"9","ColdPerS":1)",
+                              R"("ColdStartS":null,"ColdPerS":1)",
+                              R"("ColdStartS":1e9,"ColdPerS":1)" }) {
+    const auto config = Platform::ParseConfig(
+      Replace(kConfig, R"("Name":"x")", std::string(R"("Name":"x",)") + fields));
+    CHECK_FALSE_TEXT(config.ok() && Config::ValidateDeclaration(*config).ok(), fields);
+  }
+}
+
 // Guards against malformed configurations that are accepted and acknowledged.
 TEST(Documents, RejectsInvalidConfigurations)
 {
