Limit the rate of new flows to cold upstreams

Entry instances sent as many flows to an upstream that had just started as their share allowed, whatever it can take. A cold upstream of a service with a rate limit now gets its new flows from one entry instance of its availability zone, its holder: the one with the highest rendezvous hash among the instances with a current load report. It sends only while it sees a majority of the listed instances, after it has been the holder for 3 s, and not above the limit in any sliding second. Copies count. If only such upstreams are left, opening packets are held, or refused if their turn comes too late.

Lists of a control instance without a leader are ignored for the majority, because a minority's list would be too short.

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -45,6 +45,7 @@
   , mMetrics(aMetrics)
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
   , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
+  , mColdLimitedCounter(aMetrics.CounterFor("cold_start_limited_total"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
   , mPoller(aSettings.mPoller,
             [this](const PollEvent& aEvent) {
@@ -119,6 +120,9 @@
 EntryNode::CountDecision(const Steering::Decision& aDecision)
 {
   mDecisionCounters[static_cast<size_t>(aDecision.mReason)]->Add();
+  if (aDecision.mColdLimited > 0) {
+    mColdLimitedCounter.Add();
+  }
   if (aDecision.mHandshake.has_value()) {
     mHandshakeHistogram.Observe(*aDecision.mHandshake);
   }
@@ -187,6 +191,9 @@
   } else {
     line.Add("tag", aTag.mValue);
   }
+  if (aDecision.mColdLimited > 0) {
+    line.Add("cold_limited", static_cast<int64_t>(aDecision.mColdLimited));
+  }
   mEvents.Add(line, now);
 }
 
@@ -232,6 +239,9 @@
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
     mState.mInstances = mPeers.size();
   }
+  if (aEvent.mReply->connected()) {
+    mState.mColdStarts.mListed = mPeers;
+  }
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
 }
 
@@ -245,6 +255,7 @@
     }
     const Base::TimePoint now = Base::RuntimeClock::now();
     Steering::Expire(mState, now);
+    Steering::UpdateColdStarts(mState, mSettings.mSteering, now);
     mEvents.Flush(now);
     WaitForTick();
   });
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -72,6 +72,7 @@
   Metrics::Registry& mMetrics;
   Metrics::Gauge& mVersionGauge;
   Metrics::Gauge& mUpstreamsGauge;
+  Metrics::Counter& mColdLimitedCounter;
   Metrics::Histogram& mHandshakeHistogram;
   std::array<Metrics::Counter*, static_cast<size_t>(Steering::Reason::Malformed) + 1>
     mDecisionCounters{};
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -56,6 +56,14 @@
   return described.mState == Directory::State::Ready && described.mService == aInput.mService;
 }
 
+/// \return true if the upstream is cold and this instance may not send to it now.
+bool
+IsColdLimited(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
+{
+  return aInput.mColdStarts != nullptr &&
+         !AllowsOpening(*aInput.mColdStarts, aUpstream, aInput.mNow);
+}
+
 PreferenceGroup
 PreferenceGroupOf(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
 {
@@ -200,8 +208,14 @@
 ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom)
 {
   std::array<Candidates, PreferenceGroupCount> groups;
+  size_t coldLimited = 0;
   for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    if (TakesNewFlows(aInput, upstream)) {
+    if (!TakesNewFlows(aInput, upstream)) {
+      continue;
+    }
+    if (IsColdLimited(aInput, upstream)) {
+      ++coldLimited;
+    } else {
       AddCandidate(aInput, upstream, groups[PreferenceGroupOf(aInput, upstream)]);
     }
   }
@@ -214,13 +228,17 @@
     Choice choice = group == Healthy ? ChooseWithRoom(aInput, candidates, aRandom)
                                      : ChooseWithoutLimit(aInput, candidates, aRandom);
     choice.mCandidates = count;
+    choice.mColdLimited = coldLimited;
     if (choice.mUpstream != nullptr) {
       const Load load = LoadOf(aInput.mLoads, choice.mUpstream->mTag);
       choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
     }
     return choice;
   }
-  return {};
+  Choice choice;
+  choice.mSaturated = coldLimited > 0;
+  choice.mColdLimited = coldLimited;
+  return choice;
 }
 
 } // namespace Steering
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
+#include "steering/coldstart.h"
 #include "steering/loadtable.h"
 
 #include <string>
@@ -24,6 +25,8 @@
   size_t mInstances = 1;
   /// True if the flow can't meet its latency objective any more. It leaves room for others.
   bool mIsLate = false;
+  /// nullptr if no service has a rate limit for cold upstreams.
+  const ColdStarts* mColdStarts = nullptr;
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
@@ -41,6 +44,8 @@
   /// Flows that all instances together may have at local upstreams if each uses its share.
   uint32_t mZoneLimit = 0;
   size_t mCandidates = 0;
+  /// Cold upstreams that were excluded because this instance may not send to them now.
+  size_t mColdLimited = 0;
   /// Flows with requests in progress at the chosen upstream.
   uint32_t mOutstanding = 0;
 };
@@ -48,7 +53,8 @@
 /// Chooses the upstream of a new flow: samples a few upstreams at random and takes the one with the
 /// fewest outstanding flows per slot. Upstreams in remote availability zones get a cost penalty.
 /// Upstreams whose lease has expired or that do not answer are used only if there are no others.
-/// Draining upstreams are never used.
+/// Draining upstreams are never used. Cold upstreams with a rate limit are used only if this
+/// instance may send to them now; if there are no others, the service is saturated.
 ///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -17,11 +17,16 @@
 /// not make the peer's load expire.
 constexpr int kMinLifetimeIntervals = 3;
 
+Base::Duration
+LifetimeFor(Base::Duration aInterval)
+{
+  return std::max<Base::Duration>(kReportLifetime, aInterval * kMinLifetimeIntervals);
+}
+
 Base::Duration
 LifetimeOf(const lw::fleet::LoadReport& aReport)
 {
-  const std::chrono::milliseconds interval(aReport.interval_ms());
-  return std::max<Base::Duration>(kReportLifetime, interval * kMinLifetimeIntervals);
+  return LifetimeFor(std::chrono::milliseconds(aReport.interval_ms()));
 }
 
 enum class LoadUpdate
@@ -54,6 +59,24 @@
   return std::max<Base::Duration>(kMinReportInterval, kReportIntervalPerPeer * aPeers);
 }
 
+Base::Duration
+ReportLifetime(size_t aPeers)
+{
+  return LifetimeFor(ReportInterval(aPeers));
+}
+
+std::vector<uint32_t>
+LivePeers(const PeerReports& aReports, Base::TimePoint aNow)
+{
+  std::vector<uint32_t> live;
+  for (const auto& [instance, entry] : aReports.mByInstance) {
+    if (aNow - entry.mReceivedAt < LifetimeOf(entry.mReport)) {
+      live.push_back(instance);
+    }
+  }
+  return live;
+}
+
 lw::fleet::LoadReport
 MakeReport(const LoadTable& aTable, Base::TimePoint aNow)
 {
--- a/src/libs/steering/loadreports.h
+++ b/src/libs/steering/loadreports.h
@@ -30,6 +30,15 @@
 Base::Duration
 ReportInterval(size_t aPeers);
 
+/// \return the time after which the report of an instance expires, if it reports to aPeers peers.
+Base::Duration
+ReportLifetime(size_t aPeers);
+
+/// \return the peers whose report has not expired. Does not depend on ExpireReports, so that a peer
+/// does not count as live after this instance was frozen.
+std::vector<uint32_t>
+LivePeers(const PeerReports& aReports, Base::TimePoint aNow);
+
 /// \return a report of this instance's own flows and suspended upstreams for its peers.
 lw::fleet::LoadReport
 MakeReport(const LoadTable& aTable, Base::TimePoint aNow);
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -1,6 +1,7 @@
 #include "steering/openings.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace Steering {
@@ -63,7 +64,8 @@
                            aSettings.mLease,
                            aNow,
                            aState.mInstances,
-                           aIsLate };
+                           aIsLate,
+                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts };
   return ChooseUpstream(input, aState.mRandom);
 }
 
@@ -102,8 +104,10 @@
   const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   AddToLoad(aState.mLoads, aFlow);
+  RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
   Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
   decision.mCandidates = aChoice.mCandidates;
+  decision.mColdLimited = aChoice.mColdLimited;
   decision.mOutstanding = aChoice.mOutstanding;
   return decision;
 }
@@ -137,12 +141,30 @@
 {
   Decision decision = Refuse(aAction, aReason);
   decision.mCandidates = aChoice.mCandidates;
+  decision.mColdLimited = aChoice.mColdLimited;
   decision.mOwnFlows = aChoice.mOwnFlows;
   decision.mPeerFlows = aChoice.mPeerFlows;
   decision.mOwnLimit = aChoice.mOwnLimit;
   return decision;
 }
 
+/// \return the time after which it is the flow's turn, even if the other instances used none of the
+/// upstreams. 0 if only cold upstreams are left that this instance may not send to.
+Base::Duration
+ExpectedWait(const State& aState,
+             const Flow& aFlow,
+             size_t aFlowsAhead,
+             const Choice& aChoice,
+             Base::TimePoint aNow)
+{
+  if (aChoice.mZoneLimit > 0) {
+    return MeanDuration(aState.mRequests, aFlow.mService) * aFlowsAhead / aChoice.mZoneLimit;
+  }
+  const double rate = HeldRate(aState.mColdStarts, aState.mDirectory, aFlow.mService, aNow);
+  const std::chrono::duration<double> wait(rate > 0 ? static_cast<double>(aFlowsAhead) / rate : 0);
+  return std::chrono::duration_cast<Base::Duration>(wait);
+}
+
 /// Puts the opening packet into the queue of its service, unless its turn would come only after the
 /// caller has ended the attempt, even if the other instances used none of the upstreams.
 Decision
@@ -154,8 +176,8 @@
             Base::TimePoint aNow)
 {
   OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
-  const Base::Duration wait = MeanDuration(aState.mRequests, aFlow.mService) *
-                              CountAhead(queue, aOpening, aNow) / aChoice.mZoneLimit;
+  const Base::Duration wait =
+    ExpectedWait(aState, aFlow, CountAhead(queue, aOpening, aNow), aChoice, aNow);
   if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
       Size(queue) >= kMaxHeldOpenings) {
     return RefuseSaturated(ActionForUnserved(aFlow), Reason::Overloaded, aChoice);
@@ -193,8 +215,17 @@
 {
   if (aFlow.mConfirmed) {
     const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, aFlow.mTag);
-    return upstream == nullptr ? Refuse(Action::Drop, Reason::UnknownTag)
-                               : ForwardTo(aState, *upstream, Reason::RepeatedOpening, aNow);
+    if (upstream == nullptr) {
+      return Refuse(Action::Drop, Reason::UnknownTag);
+    }
+    // The caller has the answer already, so its copy can be dropped to stay within the rate limit.
+    if (!AllowsOpening(aState.mColdStarts, *upstream, aNow)) {
+      Decision decision = Refuse(Action::Drop, Reason::Saturated);
+      decision.mColdLimited = 1;
+      return decision;
+    }
+    RecordOpening(aState.mColdStarts, *upstream, aNow);
+    return ForwardTo(aState, *upstream, Reason::RepeatedOpening, aNow);
   }
   if (aFlow.mHeld) {
     return Refuse(Action::Hold, Reason::Saturated);
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -211,7 +211,11 @@
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
-  return aReply.has_routes() && Update(aState.mRoutes, aReply.routes());
+  if (!aReply.has_routes() || !Update(aState.mRoutes, aReply.routes())) {
+    return false;
+  }
+  SetColdStartRates(aState.mColdStarts, aReply.routes());
+  return true;
 }
 
 lw::fleet::LoadReport
@@ -260,6 +264,19 @@
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
 }
 
+void
+UpdateColdStarts(State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  HolderView view;
+  if (!aState.mColdStarts.mRates.empty()) {
+    view = { aState.mPins.mSelf,
+             aSettings.mAvailabilityZone,
+             LivePeers(aState.mReports, aNow),
+             ReportLifetime(aState.mColdStarts.mListed.size()) };
+  }
+  UpdateHeldUpstreams(aState.mColdStarts, aState.mDirectory, view, aNow);
+}
+
 bool
 IsReady(const State& aState)
 {
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
 #include "steering/choice.h"
+#include "steering/coldstart.h"
 #include "steering/flowload.h"
 #include "steering/flowpins.h"
 #include "steering/flowtable.h"
@@ -95,6 +96,8 @@
   Directory::UpstreamId mUpstream;
   Base::Endpoint mAddress;
   size_t mCandidates = 0;
+  /// Cold upstreams that were excluded because this instance may not send to them now.
+  size_t mColdLimited = 0;
   uint32_t mOutstanding = 0;
   /// Why no upstream has room: flows of this instance and of its peers in the availability zone,
   /// and the number that this instance may always have.
@@ -133,6 +136,7 @@
   std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
   /// Entry instances of the availability zone, including this one.
   size_t mInstances = 1;
+  ColdStarts mColdStarts;
   Base::RandomSource mRandom;
   /// When a control instance that is connected to the leader of the log last replied.
   Base::TimePoint mConnectedAt;
@@ -182,6 +186,10 @@
 void
 Expire(State& aState, Base::TimePoint aNow);
 
+/// Determines which cold upstreams this instance may send to. To be called together with Expire.
+void
+UpdateColdStarts(State& aState, const Settings& aSettings, Base::TimePoint aNow);
+
 /// \return true if packets can be steered, that is, a configuration and upstreams are known.
 bool
 IsReady(const State& aState);
