Count only peers that hear the holder of a cold upstream

With reports lost in one direction or between two groups, while all of them saw a majority of their peers, several instances were holders of the same cold upstream: up to 20 opening packets in a window with a rate of 5. Reports now list the instances that their sender does not hear, as long as a service has a rate limit, and an instance is a holder only while a majority hears it and no instance that goes before it.

--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 
 namespace Steering {
 
@@ -58,18 +59,19 @@
   return Base::StableHash({ aTag.mValue, aInstance });
 }
 
-/// \return true if more than half of the listed instances are live. Otherwise the others may have
-/// elected other holders.
+/// \return true if rendezvous hashing prefers aInstance to aOther as the holder.
 bool
-SeesMajority(const ColdStarts& aColdStarts, const HolderView& aView)
+IsPreferred(uint32_t aInstance, uint32_t aOther, Directory::RouteTag aTag)
 {
-  const auto& listed = aColdStarts.mListed;
-  const auto isLive = [&aView](uint32_t aInstance) {
-    const auto& live = aView.mLivePeers;
-    return aInstance == aView.mSelf || std::find(live.begin(), live.end(), aInstance) != live.end();
-  };
-  const auto count = static_cast<size_t>(std::count_if(listed.begin(), listed.end(), isLive));
-  return 2 * count > listed.size();
+  const uint64_t hash = RendezvousHash(aInstance, aTag);
+  const uint64_t other = RendezvousHash(aOther, aTag);
+  return hash > other || (hash == other && aInstance > aOther);
+}
+
+bool
+Contains(const std::vector<uint32_t>& aInstances, uint32_t aInstance)
+{
+  return std::find(aInstances.begin(), aInstances.end(), aInstance) != aInstances.end();
 }
 
 } // namespace
@@ -88,14 +90,48 @@
 bool
 IsHolder(const HolderView& aView, Directory::RouteTag aTag)
 {
-  const uint64_t own = RendezvousHash(aView.mSelf, aTag);
   return std::none_of(
-    aView.mLivePeers.begin(), aView.mLivePeers.end(), [&aView, own, aTag](uint32_t aPeer) {
-      const uint64_t other = RendezvousHash(aPeer, aTag);
-      return other > own || (other == own && aPeer > aView.mSelf);
+    aView.mLivePeers.begin(), aView.mLivePeers.end(), [&aView, aTag](const LivePeer& aPeer) {
+      return IsPreferred(aPeer.mInstance, aView.mSelf, aTag);
     });
 }
 
+bool
+HasMajority(const std::vector<uint32_t>& aListed, const HolderView& aView, Directory::RouteTag aTag)
+{
+  std::vector<uint32_t> preferred;
+  std::copy_if(
+    aListed.begin(),
+    aListed.end(),
+    std::back_inserter(preferred),
+    [&aView, aTag](uint32_t aInstance) { return IsPreferred(aInstance, aView.mSelf, aTag); });
+  const auto supports = [&](const LivePeer& aPeer) {
+    const auto hears = [&aPeer](uint32_t aInstance) {
+      return !Contains(aPeer.mUnheard, aInstance);
+    };
+    return Contains(aListed, aPeer.mInstance) && hears(aView.mSelf) &&
+           std::none_of(preferred.begin(), preferred.end(), hears);
+  };
+  const auto& peers = aView.mLivePeers;
+  const auto others = static_cast<size_t>(std::count_if(peers.begin(), peers.end(), supports));
+  const size_t own = Contains(aListed, aView.mSelf) ? 1 : 0;
+  return 2 * (others + own) > aListed.size();
+}
+
+void
+AddUnheard(const ColdStarts& aColdStarts, const HolderView& aView, lw::fleet::LoadReport& aReport)
+{
+  for (const uint32_t listed : aColdStarts.mListed) {
+    const bool isLive =
+      std::any_of(aView.mLivePeers.begin(),
+                  aView.mLivePeers.end(),
+                  [listed](const LivePeer& aPeer) { return aPeer.mInstance == listed; });
+    if (listed != aView.mSelf && !isLive) {
+      aReport.add_unheard(listed);
+    }
+  }
+}
+
 void
 UpdateHeldUpstreams(ColdStarts& aColdStarts,
                     const Directory::MergedDirectory& aDirectory,
@@ -104,11 +140,10 @@
 {
   const bool interrupted = aNow - aColdStarts.mUpdatedAt > kMaxUpdateAge;
   aColdStarts.mUpdatedAt = aNow;
-  const bool mayHold = !aColdStarts.mRates.empty() && SeesMajority(aColdStarts, aView);
-  if (interrupted || !mayHold) {
+  if (interrupted || aColdStarts.mRates.empty()) {
     aColdStarts.mHeld.clear();
   }
-  if (!mayHold) {
+  if (aColdStarts.mRates.empty()) {
     return;
   }
   std::unordered_map<Directory::RouteTag, HeldUpstream> held;
@@ -117,7 +152,8 @@
     const bool canTakeFlows = described.mState == Directory::State::Ready &&
                               described.mAvailabilityZone == aView.mAvailabilityZone;
     const std::optional<double> rate = RateLimitOf(aColdStarts, described, aNow);
-    if (!canTakeFlows || !rate.has_value() || !IsHolder(aView, tag)) {
+    if (!canTakeFlows || !rate.has_value() || !IsHolder(aView, tag) ||
+        !HasMajority(aColdStarts.mListed, aView, tag)) {
       continue;
     }
     HeldUpstream& entry = held[tag];
--- a/src/libs/steering/coldstart.h
+++ b/src/libs/steering/coldstart.h
@@ -2,6 +2,7 @@
 
 #include "base/runtimeclock.h"
 #include "directory/mergeddirectory.h"
+#include "steering/loadreports.h"
 
 #include "fleet.pb.h"
 
@@ -47,7 +48,7 @@
   uint32_t mSelf = 0;
   std::string mAvailabilityZone;
   /// Other instances with a current load report.
-  std::vector<uint32_t> mLivePeers;
+  std::vector<LivePeer> mLivePeers;
   /// Time after which an instance that no longer reports is not live any more.
   Base::Duration mReportLifetime{};
 };
@@ -64,6 +65,18 @@
 bool
 IsHolder(const HolderView& aView, Directory::RouteTag aTag);
 
+/// \return true if more than half of the listed instances, including this one, hear this instance
+/// and no listed instance with a higher hash. Only one instance can have this majority, also if
+/// some reports are lost in one direction or between two instances only.
+bool
+HasMajority(const std::vector<uint32_t>& aListed,
+            const HolderView& aView,
+            Directory::RouteTag aTag);
+
+/// Adds the listed instances that this instance does not hear to its load report.
+void
+AddUnheard(const ColdStarts& aColdStarts, const HolderView& aView, lw::fleet::LoadReport& aReport);
+
 /// Determines the cold upstreams of which this instance is the holder, and removes the state of the
 /// others. To be called about every 100 ms. A longer interruption than kMaxUpdateAge ends the
 /// holding of all upstreams, because other instances may have become their holders.
--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -65,13 +65,14 @@
   return LifetimeFor(ReportInterval(aPeers));
 }
 
-std::vector<uint32_t>
+std::vector<LivePeer>
 LivePeers(const PeerReports& aReports, Base::TimePoint aNow)
 {
-  std::vector<uint32_t> live;
+  std::vector<LivePeer> live;
   for (const auto& [instance, entry] : aReports.mByInstance) {
     if (aNow - entry.mReceivedAt < LifetimeOf(entry.mReport)) {
-      live.push_back(instance);
+      const auto& unheard = entry.mReport.unheard();
+      live.push_back({ instance, { unheard.begin(), unheard.end() } });
     }
   }
   return live;
--- a/src/libs/steering/loadreports.h
+++ b/src/libs/steering/loadreports.h
@@ -34,9 +34,17 @@
 Base::Duration
 ReportLifetime(size_t aPeers);
 
+/// A peer whose report has not expired.
+struct LivePeer
+{
+  uint32_t mInstance = 0;
+  /// Instances whose reports the peer does not receive.
+  std::vector<uint32_t> mUnheard;
+};
+
 /// \return the peers whose report has not expired. Does not depend on ExpireReports, so that a peer
 /// does not count as live after this instance was frozen.
-std::vector<uint32_t>
+std::vector<LivePeer>
 LivePeers(const PeerReports& aReports, Base::TimePoint aNow);
 
 /// \return a report of this instance's own flows and suspended upstreams for its peers.
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -131,6 +131,19 @@
   return decision;
 }
 
+/// \return what this instance knows about its peers. Empty if no service has a rate limit.
+HolderView
+ViewOfPeers(const State& aState, const std::string& aAvailabilityZone, Base::TimePoint aNow)
+{
+  if (aState.mColdStarts.mRates.empty()) {
+    return {};
+  }
+  return { aState.mPins.mSelf,
+           aAvailabilityZone,
+           LivePeers(aState.mReports, aNow),
+           ReportLifetime(aState.mColdStarts.mListed.size()) };
+}
+
 } // namespace
 
 const char*
@@ -224,6 +237,9 @@
   lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
   const size_t peers = aState.mInstances - 1;
   AddPendingPins(aState.mPins, report, peers, ReportInterval(aState.mInstances), aNow);
+  if (!aState.mColdStarts.mRates.empty()) {
+    AddUnheard(aState.mColdStarts, ViewOfPeers(aState, std::string(), aNow), report);
+  }
   return report;
 }
 
@@ -267,13 +283,7 @@
 void
 UpdateColdStarts(State& aState, const Settings& aSettings, Base::TimePoint aNow)
 {
-  HolderView view;
-  if (!aState.mColdStarts.mRates.empty()) {
-    view = { aState.mPins.mSelf,
-             aSettings.mAvailabilityZone,
-             LivePeers(aState.mReports, aNow),
-             ReportLifetime(aState.mColdStarts.mListed.size()) };
-  }
+  const HolderView view = ViewOfPeers(aState, aSettings.mAvailabilityZone, aNow);
   UpdateHeldUpstreams(aState.mColdStarts, aState.mDirectory, view, aNow);
 }
 
--- a/tests/auto/steering/coldzone.cpp
+++ b/tests/auto/steering/coldzone.cpp
@@ -121,6 +121,18 @@
   mInstances[aInstance].mListedUntil = Base::TimePoint::max();
 }
 
+void
+ColdZone::BlockReports(size_t aSender, size_t aReceiver)
+{
+  mBlocked.emplace(aSender, aReceiver);
+}
+
+void
+ColdZone::UnblockReports()
+{
+  mBlocked.clear();
+}
+
 void
 ColdZone::RunFor(Base::Duration aDuration)
 {
@@ -196,7 +208,8 @@
     static_cast<uint32_t>(std::chrono::duration_cast<milliseconds>(interval).count()));
   for (size_t i = 0; i < mInstances.size(); ++i) {
     Instance& peer = mInstances[i];
-    const bool reachable = i != aSender && peer.mAlive && !peer.mCutOff && !sender.mCutOff;
+    const bool reachable = i != aSender && peer.mAlive && !peer.mCutOff && !sender.mCutOff &&
+                           mBlocked.count({ aSender, i }) == 0;
     if (reachable && peer.mSettings.mAvailabilityZone == sender.mSettings.mAvailabilityZone &&
         Base::NextUnit(mRandom) >= kReportLoss) {
       Steering::ApplyPeerReport(peer.mState, report, mNow);
--- a/tests/auto/steering/coldzone.h
+++ b/tests/auto/steering/coldzone.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Model of 126 entry instances in 3 availability zones. All upstreams of zone "a" start at once
@@ -28,6 +30,9 @@
   /// reach it.
   void CutOff(size_t aInstance);
   void Heal(size_t aInstance);
+  /// Loses all later reports of one instance to the other, until they are unblocked.
+  void BlockReports(size_t aSender, size_t aReceiver);
+  void UnblockReports();
 
   /// \return the largest number of opening packets that a cold upstream received in a window of 1
   /// s.
@@ -66,6 +71,7 @@
   std::vector<Instance> mInstances;
   lw::fleet::PollReply mDirectory;
   std::vector<Copy> mCopies;
+  std::set<std::pair<size_t, size_t>> mBlocked;
   std::map<uint64_t, std::vector<Base::TimePoint>> mSentByUpstream;
   Base::RandomSource mRandom;
   uint32_t mNextFlow = 0;
--- a/tests/auto/steering/tst_coldstart.cpp
+++ b/tests/auto/steering/tst_coldstart.cpp
@@ -128,6 +128,35 @@
   CHECK_TRUE_TEXT(zone.UsedFraction(seconds(5)) >= 0.5, text.c_str());
 }
 
+// Guards against two holders that do not hear each other although both hear most of their peers,
+// and against a holder that goes on because it hears its peers, but is not heard by them.
+TEST(ColdStart, RateHoldsIfReportsAreLostInOneDirectionOrBetweenGroups)
+{
+  ColdZone zone(20261207);
+  zone.RunFor(seconds(6));
+  constexpr size_t kSilent = 4;
+  constexpr size_t kGroup = 10;
+  for (size_t sender = 0; sender < kSilent; ++sender) {
+    for (size_t receiver = 0; receiver < ColdZone::kInstancesPerZone; ++receiver) {
+      zone.BlockReports(sender, receiver);
+    }
+  }
+  for (size_t left = kSilent; left < kSilent + kGroup; ++left) {
+    for (size_t right = kSilent + kGroup; right < kSilent + 2 * kGroup; ++right) {
+      zone.BlockReports(left, right);
+      zone.BlockReports(right, left);
+    }
+  }
+  zone.RunFor(seconds(10));
+  zone.UnblockReports();
+  zone.RunFor(seconds(6));
+  const std::string text = "most in a window: " + std::to_string(zone.MostInAnyWindow()) +
+                           ", used: " + std::to_string(zone.UsedFraction(seconds(5)));
+  CHECK_TRUE_TEXT(static_cast<double>(zone.MostInAnyWindow()) <= ColdZone::kRatePerSecond,
+                  text.c_str());
+  CHECK_TRUE_TEXT(zone.UsedFraction(seconds(5)) >= 0.5, text.c_str());
+}
+
 // Guards against a new holder that sends while the flows of the previous one are in the window.
 TEST(ColdStart, NewHolderWaits)
 {
@@ -307,6 +336,35 @@
   LONGS_EQUAL(5, Forwarded());
 }
 
+// Guards against a holder that counts the support of peers that do not hear it, or that hear an
+// instance which they prefer.
+TEST(ColdStart, PeersSupportOnlyThePreferredInstanceThatTheyHear)
+{
+  const std::vector<uint32_t> listed{ 1, 2, 3, 4, 5 };
+  const Directory::RouteTag tag(7);
+  Steering::HolderView full;
+  full.mLivePeers = { { 1, {} }, { 2, {} }, { 3, {} }, { 4, {} }, { 5, {} } };
+  for (const uint32_t self : listed) {
+    Steering::HolderView view = full;
+    view.mSelf = self;
+    view.mLivePeers.erase(view.mLivePeers.begin() + self - 1);
+    CHECK_EQUAL(Steering::IsHolder(view, tag), Steering::HasMajority(listed, view, tag));
+    if (!Steering::IsHolder(view, tag)) {
+      continue;
+    }
+    view.mLivePeers[0].mUnheard = { self };
+    view.mLivePeers[1].mUnheard = { self };
+    CHECK_TRUE(Steering::HasMajority(listed, view, tag));
+    view.mLivePeers[2].mUnheard = { self };
+    CHECK_FALSE(Steering::HasMajority(listed, view, tag));
+    view.mLivePeers = { { full.mLivePeers[self % 5].mInstance, {} },
+                        { full.mLivePeers[(self + 1) % 5].mInstance, {} } };
+    CHECK_TRUE(Steering::HasMajority(listed, view, tag));
+    view.mLivePeers.pop_back();
+    CHECK_FALSE(Steering::HasMajority(listed, view, tag));
+  }
+}
+
 // Guards against instances that disagree on the holder although they see the same peers, and
 // against one holder for all upstreams of a zone.
 TEST(ColdStart, HoldersAreSpread)
@@ -319,7 +377,7 @@
       view.mSelf = self;
       for (uint32_t peer = 0; peer < held.size(); ++peer) {
         if (peer != self) {
-          view.mLivePeers.push_back(peer);
+          view.mLivePeers.push_back({ peer, {} });
         }
       }
       if (Steering::IsHolder(view, Directory::RouteTag(tag))) {
