--- a/src/libs/steering/coldstart.h
+++ b/src/libs/steering/coldstart.h
@@ -79,7 +79,7 @@
 
 /// Determines the cold upstreams of which this instance is the holder, and removes the state of the
 /// others. To be called about every 100 ms. A longer interruption than kMaxUpdateAge ends the
-/// holding of all upstreams, because other instances may have become their holders.
+/// holding of all upstreams, because other instances may have become holders of them.
 void
 UpdateHeldUpstreams(ColdStarts& aColdStarts,
                     const Directory::MergedDirectory& aDirectory,
