--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -45,6 +45,7 @@
   , mMetrics(aMetrics)
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
   , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
+  , mColdLimitedCounter(aMetrics.CounterFor("cold_start_limited_total"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
   , mEarlyHeldCounter(aMetrics.CounterFor("early_packets_held_total"))
   , mEarlyReleasedCounter(aMetrics.CounterFor("early_packets_released_total"))
@@ -135,6 +136,9 @@
 EntryNode::CountDecision(const Steering::Decision& aDecision)
 {
   mDecisionCounters[static_cast<size_t>(aDecision.mReason)]->Add();
+  if (aDecision.mColdLimited > 0) {
+    mColdLimitedCounter.Add();
+  }
   if (aDecision.mHandshake.has_value()) {
     mHandshakeHistogram.Observe(*aDecision.mHandshake);
   }
@@ -238,6 +242,9 @@
   } else {
     line.Add("tag", aTag.mValue);
   }
+  if (aDecision.mColdLimited > 0) {
+    line.Add("cold_limited", static_cast<int64_t>(aDecision.mColdLimited));
+  }
   mEvents.Add(line, now);
 }
 
@@ -284,6 +291,9 @@
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
     mState.mInstances = mPeers.size();
   }
+  if (aEvent.mReply->connected()) {
+    mState.mColdStarts.mListed = mPeers;
+  }
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
   if (routesChanged || aEvent.mReply->upstreams_size() > 0) {
     ReleaseEarlyPackets();
@@ -301,6 +311,7 @@
     const Base::TimePoint now = Base::RuntimeClock::now();
     Steering::Expire(mState, now);
     ExpireEarlyPackets();
+    Steering::UpdateColdStarts(mState, mSettings.mSteering, now);
     mEvents.Flush(now);
     WaitForTick();
   });
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -78,6 +78,7 @@
   Metrics::Registry& mMetrics;
   Metrics::Gauge& mVersionGauge;
   Metrics::Gauge& mUpstreamsGauge;
+  Metrics::Counter& mColdLimitedCounter;
   Metrics::Histogram& mHandshakeHistogram;
   Metrics::Counter& mEarlyHeldCounter;
   Metrics::Counter& mEarlyReleasedCounter;
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -168,6 +168,19 @@
   return decision;
 }
 
+/// \return what this instance knows about its peers. Empty if no service has a rate limit.
+HolderView
+ViewOfPeers(const State& aState, const std::string& aAvailabilityZone, Base::TimePoint aNow)
+{
+  if (aState.mColdStarts.mRates.empty()) {
+    return {};
+  }
+  return { aState.mPins.mSelf,
+           aAvailabilityZone,
+           LivePeers(aState.mReports, aNow),
+           ReportLifetime(aState.mColdStarts.mListed.size()) };
+}
+
 } // namespace
 
 const char*
@@ -297,7 +310,11 @@
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
-  return aReply.has_routes() && Update(aState.mRoutes, aReply.routes());
+  if (!aReply.has_routes() || !Update(aState.mRoutes, aReply.routes())) {
+    return false;
+  }
+  SetColdStartRates(aState.mColdStarts, aReply.routes());
+  return true;
 }
 
 lw::fleet::LoadReport
@@ -306,6 +323,9 @@
   lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
   const size_t peers = aState.mInstances - 1;
   AddPendingPins(aState.mPins, report, peers, ReportInterval(aState.mInstances), aNow);
+  if (!aState.mColdStarts.mRates.empty()) {
+    AddUnheard(aState.mColdStarts, ViewOfPeers(aState, std::string(), aNow), report);
+  }
   return report;
 }
 
@@ -346,6 +366,13 @@
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
 }
 
+void
+UpdateColdStarts(State& aState, const Settings& aSettings, Base::TimePoint aNow)
+{
+  const HolderView view = ViewOfPeers(aState, aSettings.mAvailabilityZone, aNow);
+  UpdateHeldUpstreams(aState.mColdStarts, aState.mDirectory, view, aNow);
+}
+
 bool
 IsReady(const State& aState)
 {
