Make the test of late connection ends independent of the machine's load

On a busy machine the requester may take longer than the 20 ms of the check to close its connection. The test repeats such attempts with another zone.

--- a/tests/auto/platform/tst_evacuationcalls.cpp
+++ b/tests/auto/platform/tst_evacuationcalls.cpp
@@ -295,14 +295,29 @@
 TEST(EvacuationCalls, AConnectionThatClosesRightAfterTheCallCountsAsClosed)
 {
   constexpr std::chrono::milliseconds kRoundTrip{ 7 };
+  // Less than the delay of the check. A busy machine may take longer to close the connection; then
+  // nothing follows from the attempt.
+  constexpr std::chrono::milliseconds kMaxOpenTime{ 15 };
+  constexpr int kMaxAttempts = 100;
   Instance& instance = StartOne();
   instance.Serve();
-  {
-    Requester delayed(1, "/v1/Evacuations.Begin/zone-b");
-    std::this_thread::sleep_for(kRoundTrip);
+  std::chrono::steady_clock::duration openTime = kMaxOpenTime;
+  int attempt = 0;
+  for (; attempt < kMaxAttempts && openTime >= kMaxOpenTime; ++attempt) {
+    const auto start = std::chrono::steady_clock::now();
+    {
+      Requester delayed(1, absl::StrCat("/v1/Evacuations.Begin/zone-", attempt));
+      std::this_thread::sleep_for(kRoundTrip);
+    }
+    openTime = std::chrono::steady_clock::now() - start;
   }
+  CHECK_TRUE(openTime < kMaxOpenTime);
   std::this_thread::sleep_for(kSettleTime);
-  LONGS_EQUAL(0, EvacuatedZones(instance));
+  const std::string last = absl::StrCat("zone-", attempt - 1);
+  const lw::config::State state = instance.mStore.State();
+  for (const std::string& zone : state.evacuations().availability_zones()) {
+    CHECK_TRUE(zone != last);
+  }
 }
 
 // Guards against an acknowledgement from a local store that lags behind a later change.
