Send the first poll as soon as there is a connection

The first poll to a control instance was always refused by its socket, because the connection takes a round trip, and was retried only after 50 ms. The poller now waits for the socket to become writable.

--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -132,6 +132,7 @@
   aTarget.mSocket = std::move(socket);
   aTarget.mOpenedAt = aNow;
   aTarget.mPendingSince.reset();
+  aTarget.mUnsent = false;
   aTarget.mNextPoll = aNow;
 }
 
@@ -181,8 +182,12 @@
   poll.set_directory_revision(aTarget.mRevision);
   poll.set_peers_hash(mPeersHash);
   aTarget.mNextPoll = aNow + PollInterval(aTarget, aNow);
-  // Without a connection, send() fails instead of queueing the poll. The next interval retries it.
-  if (aTarget.mSocket.send(zmq::buffer(poll.SerializeAsString()), zmq::send_flags::dontwait)) {
+  // Without a connection, send() fails instead of queueing the poll. The first poll always fails,
+  // because a connection takes a round trip. Waiting for the next interval instead of for the
+  // connection would delay the first configuration by that interval.
+  const std::string bytes = poll.SerializeAsString();
+  aTarget.mUnsent = !aTarget.mSocket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  if (!aTarget.mUnsent) {
     aTarget.mPendingSince = aNow;
   }
 }
@@ -222,7 +227,8 @@
     std::vector<zmq::pollitem_t> items;
     items.reserve(mTargets.size());
     for (auto& [control, target] : mTargets) {
-      items.push_back({ target.mSocket.handle(), 0, ZMQ_POLLIN, 0 });
+      const int events = target.mUnsent ? ZMQ_POLLIN | ZMQ_POLLOUT : ZMQ_POLLIN;
+      items.push_back({ target.mSocket.handle(), 0, static_cast<short>(events), 0 });
     }
     const auto left = std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1);
     if (items.empty()) {
@@ -232,9 +238,13 @@
     zmq::poll(items, left);
     size_t position = 0;
     for (auto& [control, target] : mTargets) {
-      if ((items[position++].revents & ZMQ_POLLIN) != 0) {
+      const short ready = items[position++].revents;
+      if ((ready & ZMQ_POLLIN) != 0) {
         ReceiveFrom(control, target);
       }
+      if ((ready & ZMQ_POLLOUT) != 0 && target.mUnsent) {
+        SendPoll(target, false, Base::RuntimeClock::now());
+      }
     }
   }
 }
--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -78,6 +78,9 @@
     bool mConnected = false;
     /// When the poll was sent that has not been answered yet, if there is one.
     std::optional<Base::TimePoint> mPendingSince;
+    /// True if the latest poll could not be sent because there is no connection. It is sent as soon
+    /// as there is one.
+    bool mUnsent = false;
     uint64_t mDeclaredVersion = 0;
     std::string mAvailabilityZone;
     bool mResponding = false;
--- a/tests/auto/fleet/tst_poller.cpp
+++ b/tests/auto/fleet/tst_poller.cpp
@@ -135,3 +135,24 @@
   CHECK_TRUE(WaitUntil([this] { return mReplies >= kReplies; }));
   poller.Stop();
 }
+
+// Guards against a first configuration that is late by a poll interval: when the first poll is due,
+// the connection is not established yet.
+TEST(Poller, FirstPollIsSentOnceConnected)
+{
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  Fleet::PollServer server(mService, listen);
+  CHECK_TRUE(server.Start().ok());
+  Fleet::PollerSettings settings;
+  settings.mPollPort = listen.mPort;
+  // The poller's thread may wait for as long as this when it is stopped.
+  settings.mInterval = settings.mStartInterval = seconds(5);
+  Fleet::Poller poller(settings,
+                       [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
+  poller.SetSeeds({ Base::InstanceId(kLoopback) });
+  const auto startedAt = std::chrono::steady_clock::now();
+  poller.Start();
+  CHECK_TRUE(WaitUntil([this] { return mReplies > 0; }));
+  CHECK_TRUE(std::chrono::steady_clock::now() - startedAt < settings.mStartInterval);
+  poller.Stop();
+}
