--- a/tests/auto/steering/coldzone.cpp
+++ b/tests/auto/steering/coldzone.cpp
@@ -163,7 +163,7 @@
       Steering::Expire(instance.mState, mNow);
       Steering::UpdateColdStarts(instance.mState, instance.mSettings, mNow);
     }
-    for (const Steering::ReleasedOpening& released :
+    for (const Steering::ReleasedPacket& released :
          Steering::ReleaseOpenings(instance.mState, instance.mSettings, mNow)) {
       RecordForwarded(released.mDecision);
     }
