Exclude evacuated availability zones from the choice of an upstream

Cause: entry instances know the evacuations that control instances report, but sent new flows to all zones.

Change: Steering::Evacuations holds the list in force. Its revision only grows, and lower or equal ones are ignored. Upstreams of an evacuated zone are no candidates in any preference group, which covers held opening packets and copies. If only remote upstreams are left, the instances of a zone together use only their part of the slots, with the limits that apply to local upstreams. The poller sends the revision in force; entry instances log zone_evacuated and zone_readmitted and count openings_diverted_total and zones_evacuated.

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -45,6 +45,8 @@
   , mMetrics(aMetrics)
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
   , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
+  , mEvacuatedGauge(aMetrics.GaugeFor("zones_evacuated"))
+  , mDivertedCounter(aMetrics.CounterFor("openings_diverted_total"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
   , mPoller(aSettings.mPoller,
             [this](const PollEvent& aEvent) {
@@ -119,6 +121,10 @@
 EntryNode::CountDecision(const Steering::Decision& aDecision)
 {
   mDecisionCounters[static_cast<size_t>(aDecision.mReason)]->Add();
+  // A held packet is counted when it is released or refused.
+  if (aDecision.mIsDiverted && aDecision.mAction != Steering::Action::Hold) {
+    mDivertedCounter.Add();
+  }
   if (aDecision.mHandshake.has_value()) {
     mHandshakeHistogram.Observe(*aDecision.mHandshake);
   }
@@ -202,6 +208,7 @@
   if (aEvent.mRegained) {
     mEvents.Add(EventLog::Line("control_regained").Add("control", control), now);
   }
+  const Steering::Evacuations evacuations = mState.mEvacuations;
   if (Steering::ApplyPollReply(mState, aEvent.mControl, *aEvent.mReply, now)) {
     mPoller.SetDeclaredVersion(mState.mRoutes.mVersion);
     mVersionGauge.Set(static_cast<int64_t>(mState.mRoutes.mVersion));
@@ -211,6 +218,9 @@
                   .Add("control", control),
                 now);
   }
+  if (mState.mEvacuations.mRevision != evacuations.mRevision) {
+    PublishEvacuations(evacuations, control);
+  }
   for (const lw::fleet::Upstream& upstream : aEvent.mReply->upstreams()) {
     mEvents.Add(EventLog::Line("upstream")
                   .Add("upstream", absl::StrCat(absl::Hex(upstream.id())))
@@ -235,6 +245,29 @@
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
 }
 
+void
+EntryNode::PublishEvacuations(const Steering::Evacuations& aPrevious, const std::string& aControl)
+{
+  const Steering::Evacuations& current = mState.mEvacuations;
+  mPoller.SetEvacuationRevision(current.mRevision);
+  mEvacuatedGauge.Set(static_cast<int64_t>(current.mZones.size()));
+  const auto logAdded = [&](const char* aEvent,
+                            const Steering::Evacuations& aBefore,
+                            const Steering::Evacuations& aAfter) {
+    for (const std::string& zone : aAfter.mZones) {
+      if (!Steering::IsEvacuated(aBefore, zone)) {
+        mEvents.Add(EventLog::Line(aEvent)
+                      .Add("zone", zone)
+                      .Add("revision", static_cast<int64_t>(current.mRevision))
+                      .Add("control", aControl),
+                    Base::RuntimeClock::now());
+      }
+    }
+  };
+  logAdded("zone_evacuated", aPrevious, current);
+  logAdded("zone_readmitted", current, aPrevious);
+}
+
 void
 EntryNode::WaitForTick()
 {
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace Fleet {
@@ -61,6 +62,8 @@
   void ReceiveReports();
   void WaitForRelease();
   void ReleaseOpenings();
+  /// Logs the availability zones whose evacuation has begun or ended.
+  void PublishEvacuations(const Steering::Evacuations& aPrevious, const std::string& aControl);
   void CountDecision(const Steering::Decision& aDecision);
   void LogDecision(const Steering::FlowKey& aFlow,
                    Directory::RouteTag aTag,
@@ -72,6 +75,8 @@
   Metrics::Registry& mMetrics;
   Metrics::Gauge& mVersionGauge;
   Metrics::Gauge& mUpstreamsGauge;
+  Metrics::Gauge& mEvacuatedGauge;
+  Metrics::Counter& mDivertedCounter;
   Metrics::Histogram& mHandshakeHistogram;
   std::array<Metrics::Counter*, static_cast<size_t>(Steering::Reason::Malformed) + 1>
     mDecisionCounters{};
--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -180,6 +180,7 @@
   poll.set_directory_epoch(aTarget.mEpoch);
   poll.set_directory_revision(aTarget.mRevision);
   poll.set_peers_hash(mPeersHash);
+  poll.set_evacuation_revision(mEvacuationRevision);
   aTarget.mNextPoll = aNow + PollInterval(aTarget, aNow);
   // Without a connection, send() fails instead of queueing the poll. The next interval retries it.
   if (aTarget.mSocket.send(zmq::buffer(poll.SerializeAsString()), zmq::send_flags::dontwait)) {
--- a/src/libs/fleet/poller.h
+++ b/src/libs/fleet/poller.h
@@ -63,6 +63,10 @@
   /// Sets the configuration version in force at this instance, so that it is not sent again.
   void SetDeclaredVersion(uint64_t aVersion) { mDeclaredVersion = aVersion; }
 
+  /// Sets the revision of the evacuations in force at this instance, so that they are not sent
+  /// again.
+  void SetEvacuationRevision(uint64_t aRevision) { mEvacuationRevision = aRevision; }
+
 private:
   struct Target
   {
@@ -110,6 +114,7 @@
   std::thread mThread;
   std::atomic<bool> mStopping{ false };
   std::atomic<uint64_t> mDeclaredVersion{ 0 };
+  std::atomic<uint64_t> mEvacuationRevision{ 0 };
   std::mutex mMutex;
   std::vector<Base::InstanceId> mSeeds;
 
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace Steering {
 
@@ -53,7 +54,8 @@
 TakesNewFlows(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
 {
   const Directory::Upstream& described = aUpstream.mUpstream;
-  return described.mState == Directory::State::Ready && described.mService == aInput.mService;
+  return described.mState == Directory::State::Ready && described.mService == aInput.mService &&
+         !IsEvacuated(aInput.mEvacuations, described.mAvailabilityZone);
 }
 
 PreferenceGroup
@@ -127,20 +129,37 @@
   return (aDividend + aDivisor - 1) / aDivisor;
 }
 
-/// \return the flows that this instance may have at local upstreams whatever its peers have there.
+/// \return the flows that this instance may have in a place whatever its peers have there.
 uint32_t
-OwnLimit(const ChoiceInput& aInput, const PlaceLoad& aLocal)
+OwnLimit(const ChoiceInput& aInput, const PlaceLoad& aPlace)
 {
   const auto instances = static_cast<uint32_t>(aInput.mInstances);
   const uint32_t flowsPerSlot = aInput.mIsLate ? kLateFlowsPerSharedSlot : kFlowsPerSharedSlot;
-  return DivideRoundingUp(flowsPerSlot * aLocal.mSlots, instances);
+  return DivideRoundingUp(flowsPerSlot * aPlace.mSlots, instances);
 }
 
 bool
-HasLocalRoom(const ChoiceInput& aInput, const PlaceLoad& aLocal)
+HasRoom(const ChoiceInput& aInput, const PlaceLoad& aPlace)
 {
-  return aLocal.mOwnFlows + aLocal.mPeerFlows < aLocal.mSlots ||
-         aLocal.mOwnFlows < OwnLimit(aInput, aLocal);
+  return aPlace.mOwnFlows + aPlace.mPeerFlows < aPlace.mSlots ||
+         aPlace.mOwnFlows < OwnLimit(aInput, aPlace);
+}
+
+/// \return the part of the service's remote slots that this availability zone uses if none of its
+/// own upstreams takes new flows. Each zone that has upstreams of the service, and this one, is
+/// expected to have the same demand, also while it is evacuated.
+PlaceLoad
+PartOfRemote(const ChoiceInput& aInput, const PlaceLoad& aRemote)
+{
+  std::set<std::string> zones{ aInput.mAvailabilityZone };
+  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
+    if (upstream.mUpstream.mService == aInput.mService) {
+      zones.insert(upstream.mUpstream.mAvailabilityZone);
+    }
+  }
+  PlaceLoad part = aRemote;
+  part.mSlots = DivideRoundingUp(aRemote.mSlots, static_cast<uint32_t>(zones.size()));
+  return part;
 }
 
 /// The load that other availability zones put on remote upstreams is not known here, so an instance
@@ -148,11 +167,11 @@
 bool
 HasRemoteRoom(const ChoiceInput& aInput, const Candidates& aCandidates)
 {
-  if (aCandidates.mLocal.empty()) {
-    return true;
-  }
   const uint32_t local = aCandidates.mLocalLoad.mSlots;
   const uint32_t remote = aCandidates.mRemoteLoad.mSlots;
+  if (remote == 0) {
+    return false;
+  }
   const auto instances = static_cast<uint32_t>(aInput.mInstances);
   const uint32_t share = DivideRoundingUp(remote * local, (remote + local) * instances);
   return aCandidates.mRemoteLoad.mOwnFlows < share;
@@ -164,20 +183,24 @@
                const Candidates& aCandidates,
                Base::RandomSource& aRandom)
 {
+  const bool onlyRemote = aCandidates.mLocal.empty();
+  const PlaceLoad place =
+    onlyRemote ? PartOfRemote(aInput, aCandidates.mRemoteLoad) : aCandidates.mLocalLoad;
+  const bool hasRoom = HasRoom(aInput, place);
   Choice choice;
   double cost = 0;
-  if (HasLocalRoom(aInput, aCandidates.mLocalLoad)) {
+  if (hasRoom) {
     SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
   }
-  if (HasRemoteRoom(aInput, aCandidates)) {
-    const int samples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
+  if (onlyRemote ? hasRoom : HasRemoteRoom(aInput, aCandidates)) {
+    const int samples = onlyRemote ? kLocalSamples : kRemoteSamples;
     SampleCandidates(aInput, aCandidates.mRemote, samples, aRandom, choice.mUpstream, cost);
   }
   choice.mSaturated = choice.mUpstream == nullptr;
-  choice.mOwnFlows = aCandidates.mLocalLoad.mOwnFlows;
-  choice.mPeerFlows = aCandidates.mLocalLoad.mPeerFlows;
-  choice.mZoneLimit = std::max(kFlowsPerSharedSlot * aCandidates.mLocalLoad.mSlots, 1U);
-  choice.mOwnLimit = OwnLimit(aInput, aCandidates.mLocalLoad);
+  choice.mOwnFlows = place.mOwnFlows;
+  choice.mPeerFlows = place.mPeerFlows;
+  choice.mZoneLimit = std::max(kFlowsPerSharedSlot * place.mSlots, 1U);
+  choice.mOwnLimit = OwnLimit(aInput, place);
   return choice;
 }
 
@@ -194,10 +217,27 @@
   return choice;
 }
 
-} // namespace
+/// Chooses a responsive upstream outside the given availability zones.
+Choice
+ChooseOutside(const ChoiceInput& aInput,
+              const std::set<std::string>& aZones,
+              Base::RandomSource& aRandom)
+{
+  Candidates candidates;
+  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
+    if (TakesNewFlows(aInput, upstream) && PreferenceGroupOf(aInput, upstream) == Healthy &&
+        aZones.count(upstream.mUpstream.mAvailabilityZone) == 0) {
+      AddCandidate(aInput, upstream, candidates);
+    }
+  }
+  Choice choice = ChooseWithRoom(aInput, candidates, aRandom);
+  choice.mCandidates = candidates.mLocal.size() + candidates.mRemote.size();
+  return choice;
+}
 
+/// Chooses among all upstreams that may get new flows, from the first group that is not empty.
 Choice
-ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom)
+ChooseFromGroups(const ChoiceInput& aInput, Base::RandomSource& aRandom)
 {
   std::array<Candidates, PreferenceGroupCount> groups;
   for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
@@ -214,13 +254,30 @@
     Choice choice = group == Healthy ? ChooseWithRoom(aInput, candidates, aRandom)
                                      : ChooseWithoutLimit(aInput, candidates, aRandom);
     choice.mCandidates = count;
-    if (choice.mUpstream != nullptr) {
-      const Load load = LoadOf(aInput.mLoads, choice.mUpstream->mTag);
-      choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
-    }
     return choice;
   }
   return {};
 }
 
+} // namespace
+
+Choice
+ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom)
+{
+  const std::set<std::string> avoided =
+    SelectZonesToAvoid(aInput.mEvacuations, aRandom, aInput.mNow);
+  Choice choice;
+  if (!avoided.empty()) {
+    choice = ChooseOutside(aInput, avoided, aRandom);
+  }
+  if (choice.mUpstream == nullptr) {
+    choice = ChooseFromGroups(aInput, aRandom);
+  }
+  if (choice.mUpstream != nullptr) {
+    const Load load = LoadOf(aInput.mLoads, choice.mUpstream->mTag);
+    choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
+  }
+  return choice;
+}
+
 } // namespace Steering
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
+#include "steering/evacuations.h"
 #include "steering/loadtable.h"
 
 #include <string>
@@ -14,6 +15,7 @@
 {
   const Directory::MergedDirectory& mDirectory;
   const LoadTable& mLoads;
+  const Evacuations& mEvacuations;
   const std::string& mService;
   const std::string& mAvailabilityZone;
   /// Upstreams that the flow's opening packet was already forwarded to.
@@ -31,14 +33,17 @@
 {
   /// nullptr if the service has no usable upstream or no upstream has room.
   const Directory::MergedUpstream* mUpstream = nullptr;
+  /// True if local upstreams were excluded because their availability zone is evacuated.
+  bool mIsDiverted = false;
   /// True if there are responsive upstreams, but this instance may not give them more work now.
   bool mSaturated = false;
   /// Flows that this instance has at local upstreams, those of its peers, and the number that this
-  /// instance may always have. Set if there are responsive upstreams.
+  /// instance may always have. Set if there are responsive upstreams. If all of them are remote,
+  /// the values are those of the remote upstreams.
   uint32_t mOwnFlows = 0;
   uint32_t mPeerFlows = 0;
   uint32_t mOwnLimit = 0;
-  /// Flows that all instances together may have at local upstreams if each uses its share.
+  /// Flows that all instances of the zone together may have there if each uses its share.
   uint32_t mZoneLimit = 0;
   size_t mCandidates = 0;
   /// Flows with requests in progress at the chosen upstream.
@@ -48,11 +53,13 @@
 /// Chooses the upstream of a new flow: samples a few upstreams at random and takes the one with the
 /// fewest outstanding flows per slot. Upstreams in remote availability zones get a cost penalty.
 /// Upstreams whose lease has expired or that do not answer are used only if there are no others.
-/// Draining upstreams are never used.
+/// Draining upstreams and those of an evacuated availability zone are never used. A zone under slow
+/// start is left out of some choices, unless no other upstream is responsive and has room.
 ///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
-/// this limit, a herd of callers fills the upstreams' queues, and all requests become late.
+/// this limit, a herd of callers fills the upstreams' queues, and all requests become late. If
+/// there are only remote upstreams, the same limit applies to the zone's part of their slots.
 Choice
 ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom);
 
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -47,6 +47,21 @@
 
 namespace {
 
+/// \return true if the service has upstreams in this instance's availability zone, and the zone is
+/// evacuated.
+bool
+IsDiverted(const State& aState, const Settings& aSettings, const std::string& aService)
+{
+  const std::string& zone = aSettings.mAvailabilityZone;
+  const auto& upstreams = aState.mDirectory.mByTag;
+  return IsEvacuated(aState.mEvacuations, zone) &&
+         std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
+           const Directory::Upstream& upstream = aItem.second.mUpstream;
+           return upstream.mState == Directory::State::Ready && upstream.mService == aService &&
+                  upstream.mAvailabilityZone == zone;
+         });
+}
+
 Choice
 ChooseFor(State& aState,
           const Settings& aSettings,
@@ -57,6 +72,7 @@
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
   const ChoiceInput input{ aState.mDirectory,
                            aState.mLoads,
+                           aState.mEvacuations,
                            aFlow.mService,
                            aSettings.mAvailabilityZone,
                            aFlow.mTriedUpstreams,
@@ -64,7 +80,9 @@
                            aNow,
                            aState.mInstances,
                            aIsLate };
-  return ChooseUpstream(input, aState.mRandom);
+  Choice choice = ChooseUpstream(input, aState.mRandom);
+  choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
+  return choice;
 }
 
 /// \return the action for a flow that can't be served. A flow that was forwarded before may just
@@ -88,7 +106,10 @@
     // After a start, the directory is complete only when every upstream has had the time to renew
     // its announcement. A reset before that could refuse a flow that an unknown upstream can serve.
     const bool complete = aNow - aState.mFirstReplyAt > aSettings.mLease;
-    return Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
+    Decision refusal =
+      Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
+    refusal.mIsDiverted = aChoice.mIsDiverted;
+    return refusal;
   }
   RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mHeld = false;
@@ -105,6 +126,7 @@
   Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
   decision.mCandidates = aChoice.mCandidates;
   decision.mOutstanding = aChoice.mOutstanding;
+  decision.mIsDiverted = aChoice.mIsDiverted;
   return decision;
 }
 
@@ -140,6 +162,7 @@
   decision.mOwnFlows = aChoice.mOwnFlows;
   decision.mPeerFlows = aChoice.mPeerFlows;
   decision.mOwnLimit = aChoice.mOwnLimit;
+  decision.mIsDiverted = aChoice.mIsDiverted;
   return decision;
 }
 
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -211,6 +211,9 @@
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
+  if (aReply.has_evacuations()) {
+    Update(aState.mEvacuations, aReply.evacuations(), aNow);
+  }
   return aReply.has_routes() && Update(aState.mRoutes, aReply.routes());
 }
 
@@ -258,6 +261,7 @@
   }
   RemoveUnusedLoads(aState.mLoads, aNow);
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
+  ExpireSlowStarts(aState.mEvacuations, aNow);
 }
 
 bool
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
 #include "steering/choice.h"
+#include "steering/evacuations.h"
 #include "steering/flowload.h"
 #include "steering/flowpins.h"
 #include "steering/flowtable.h"
@@ -96,6 +97,9 @@
   Base::Endpoint mAddress;
   size_t mCandidates = 0;
   uint32_t mOutstanding = 0;
+  /// True if upstreams of this instance's availability zone were excluded from the choice because
+  /// the zone is evacuated.
+  bool mIsDiverted = false;
   /// Why no upstream has room: flows of this instance and of its peers in the availability zone,
   /// and the number that this instance may always have.
   uint32_t mOwnFlows = 0;
@@ -125,6 +129,7 @@
 {
   RouteTable mRoutes;
   Directory::MergedDirectory mDirectory;
+  Evacuations mEvacuations;
   FlowTable mFlows;
   FlowPins mPins;
   RequestTable mRequests;
@@ -151,7 +156,7 @@
 Decision
 Steer(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow);
 
-/// Applies the poll reply of a control instance.
+/// Applies the poll reply of a control instance, including the evacuated availability zones.
 /// \return true if it brought a new configuration into force.
 bool
 ApplyPollReply(State& aState,
@@ -177,8 +182,9 @@
 std::vector<ReleasedOpening>
 ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow);
 
-/// Expires idle flows, pins, load reports and upstreams, and records unanswered opening packets. To
-/// be called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
+/// Expires idle flows, pins, load reports, upstreams and slow starts, and records unanswered
+/// opening packets. To be called about every 100 ms, so that unanswered packets are recorded soon
+/// after kAnswerTimeout.
 void
 Expire(State& aState, Base::TimePoint aNow);
 
--- a/src/tools/measure/choicemeasure.cpp
+++ b/src/tools/measure/choicemeasure.cpp
@@ -184,8 +184,9 @@
   {
     Flow& flow = mFlows[aFlow];
     Entry& view = LoadViewOf(flow);
-    const Steering::ChoiceInput input{ mDirectory, view.mLoads,      "desk", ZoneName(view.mZone),
-                                       {},         kRunDuration * 2, mNow };
+    const Steering::ChoiceInput input{
+      mDirectory, view.mLoads, {}, "desk", ZoneName(view.mZone), {}, kRunDuration * 2, mNow
+    };
     const auto start = std::chrono::steady_clock::now();
     const Steering::Choice choice = Steering::ChooseUpstream(input, mChoiceRandom);
     mProcessorTime += std::chrono::steady_clock::now() - start;
--- a/tests/auto/steering/fleetmodel.cpp
+++ b/tests/auto/steering/fleetmodel.cpp
@@ -3,7 +3,11 @@
 #include "fleetmodelconstants.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <set>
+#include <string>
+#include <utility>
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -17,6 +21,10 @@
 constexpr milliseconds kSilenceTimeout = 3 * kAnnounceInterval;
 constexpr milliseconds kLease = 4 * kAnnounceInterval;
 constexpr seconds kAddressReuseDelay{ 2 };
+const std::array<std::string, 2> kZones{ "a", "b" };
+/// Maximum time for which a control instance lags behind the evacuations. Short enough for an entry
+/// instance that misses a few replies to learn of them within kEvacuationBound.
+constexpr uint64_t kMaxLagMs = 2000;
 
 lw::config::State
 WithVersion(lw::config::State aState, uint64_t aVersion)
@@ -35,10 +43,12 @@
 
 } // namespace
 
-FleetModel::FleetModel(uint64_t aSeed, ModelFault aFault)
+FleetModel::FleetModel(uint64_t aSeed, ModelFault aFault, bool aHasEvacuations)
   : mRandom{ aSeed }
   , mFlowRandom{ ~aSeed }
+  , mEvacuationRandom{ aSeed ^ 0x45766163 }
   , mFault(aFault)
+  , mHasEvacuations(aHasEvacuations)
   , mControls(kControls)
   , mEntries(kEntries)
 {
@@ -66,6 +76,7 @@
     mNow += kTimeStep;
     DriveUpstreams();
     DriveControl();
+    DriveEvacuations();
     DriveEntries();
     DriveFlows();
   }
@@ -77,6 +88,12 @@
   return Base::NextBelow(mRandom, kMillion) < aPerMillion;
 }
 
+bool
+FleetModel::RandomEvacuationEvent(uint64_t aPerMillion)
+{
+  return Base::NextBelow(mEvacuationRandom, kMillion) < aPerMillion;
+}
+
 Base::Duration
 FleetModel::RandomDelay(uint64_t aMaxMs)
 {
@@ -103,7 +120,7 @@
   upstream.mAddress = { address, 8080 };
   // A restarted upstream with the same id still belongs to the same service.
   upstream.mService = id % 2 == 0 ? "desk" : "feed";
-  upstream.mAvailabilityZone = Base::NextBelow(mRandom, 2) == 0 ? "a" : "b";
+  upstream.mAvailabilityZone = kZones[Base::NextBelow(mRandom, kZones.size())];
   upstream.mSlots = kSlots;
   start.mStartedAt = mNow;
   start.mNextAnnouncementAt = mNow;
@@ -270,6 +287,63 @@
   }
 }
 
+void
+FleetModel::ChangeEvacuations()
+{
+  ++mEvacuations;
+  const std::string& zone = kZones[Base::NextBelow(mEvacuationRandom, kZones.size())];
+  lw::config::State next = mLog.back();
+  lw::config::Evacuations& evacuations = *next.mutable_evacuations();
+  std::set<std::string> zones(evacuations.availability_zones().begin(),
+                              evacuations.availability_zones().end());
+  if (zones.erase(zone) == 0) {
+    zones.insert(zone);
+  }
+  evacuations.set_revision(evacuations.revision() + 1);
+  evacuations.mutable_availability_zones()->Assign(zones.begin(), zones.end());
+  next.set_version(next.version() + 1);
+  mLog.push_back(std::move(next));
+  mCommittedAt.push_back(mNow);
+}
+
+void
+FleetModel::DriveEvacuations()
+{
+  // An evacuation ends sooner than the next one begins, so that most flows can be served.
+  const bool evacuated = !mLog.back().evacuations().availability_zones().empty();
+  if (mHasEvacuations && RandomEvacuationEvent(evacuated ? 2000 : 600)) {
+    ChangeEvacuations();
+  }
+  for (Control& control : mControls) {
+    const bool restarted = control.mApplied > 0 && control.mReportedEvacuations == 0;
+    if (restarted) {
+      // The instance has restarted with an older state.
+      control.mReportedEvacuations = Base::NextBelow(mEvacuationRandom, control.mApplied);
+    }
+    if (restarted || RandomEvacuationEvent(500)) {
+      control.mLagsUntil = mNow + milliseconds(Base::NextBelow(mEvacuationRandom, kMaxLagMs));
+    }
+    if (control.mRunning && mNow >= control.mLagsUntil && control.mApplied > 0) {
+      control.mReportedEvacuations = control.mApplied - 1;
+    }
+  }
+}
+
+bool
+FleetModel::IsEvacuationDue(const std::string& aZone) const
+{
+  for (size_t i = mLog.size(); i-- > 0;) {
+    const auto& zones = mLog[i].evacuations().availability_zones();
+    if (std::find(zones.begin(), zones.end(), aZone) == zones.end()) {
+      return false;
+    }
+    if (mNow - mCommittedAt[i] > kEvacuationBound) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 FleetModel::ReportViolation(const std::string& aViolation)
 {
--- a/tests/auto/steering/fleetmodel.h
+++ b/tests/auto/steering/fleetmodel.h
@@ -26,18 +26,27 @@
   /// A poller keeps its position in the directory of a control instance that has restarted.
   KeepPositionAfterRestart,
   /// Entry instances do not tell each other which upstream holds a flow.
-  KeepPinsToThemselves
+  KeepPinsToThemselves,
+  /// Entry instances ignore the evacuated availability zones.
+  IgnoreEvacuations,
+  /// An entry instance accepts evacuations with a lower revision than the one in force.
+  AcceptOlderEvacuations
 };
 
 /// Simulates a fleet with the production code of the directory and steering libraries: three
 /// control instances, three entry instances, upstreams that start, drain, crash and reuse addresses
-/// and ids, and callers with flows. Messages are delayed, lost and duplicated; instances restart
-/// and are disconnected. Consensus is not simulated: a committed change reaches every running
-/// control instance after a short delay. Runs with the same seed are identical.
+/// and ids, operators that evacuate and readmit availability zones, and callers with flows.
+/// Messages are delayed, lost and duplicated; instances restart and are disconnected. Consensus is
+/// not simulated: a committed change reaches every running control instance after a short delay.
+/// Control instances may report the evacuations with a further delay. Runs with the same seed are
+/// identical.
 class FleetModel
 {
 public:
-  FleetModel(uint64_t aSeed, ModelFault aFault);
+  /// \param aHasEvacuations is false for a run in which no availability zone is evacuated. The
+  /// decisions of entry instances determine which random numbers are used, so the same seed has
+  /// other events with evacuations than without.
+  FleetModel(uint64_t aSeed, ModelFault aFault, bool aHasEvacuations);
 
   /// Simulates aDuration in steps of 10 ms, or stops at the first violation.
   void Run(Base::Duration aDuration);
@@ -50,6 +59,9 @@
   size_t mPackets = 0;
   size_t mDepartures = 0;
   size_t mVersions = 0;
+  size_t mEvacuations = 0;
+  /// New flows that were refused because no upstream may serve them.
+  size_t mRefused = 0;
 
 private:
   struct Start
@@ -67,6 +79,10 @@
     Directory::AnnouncementTable mTable;
     Directory::RouteHistory mRoutes;
     size_t mApplied = 0;
+    /// Index of the state in the log whose evacuations the instance reports.
+    size_t mReportedEvacuations = 0;
+    /// The instance does not learn of changes of the evacuations before this time.
+    Base::TimePoint mLagsUntil;
     bool mRunning = true;
     Base::TimePoint mRestartsAt;
   };
@@ -80,6 +96,7 @@
     Base::TimePoint mDisconnectedUntil;
     Base::TimePoint mLastFaultAt;
     uint64_t mHighestVersion = 0;
+    uint64_t mHighestEvacuationRevision = 0;
     uint64_t mIncarnation = 0;
     uint64_t mReports = 0;
     Base::TimePoint mNextReport;
@@ -124,6 +141,8 @@
   /// Like RandomEvent, for copies of opening packets and for reports. They have random numbers of
   /// their own, so that the other events of a seed stay the same.
   bool RandomFlowEvent(uint64_t aPerMillion);
+  /// Like RandomEvent, for evacuations.
+  bool RandomEvacuationEvent(uint64_t aPerMillion);
   Base::Duration RandomDelay(uint64_t aMaxMs);
   void StartUpstream();
   void DriveUpstreams();
@@ -135,6 +154,11 @@
   void Commit(const lw::config::Departure& aDeparture);
   void Declare();
   void ApplyLog(Control& aControl);
+  /// Begins or ends the evacuation of a random availability zone.
+  void ChangeEvacuations();
+  void DriveEvacuations();
+  /// \return true if the zone has been evacuated without interruption for kEvacuationBound.
+  bool IsEvacuationDue(const std::string& aZone) const;
   void Poll(size_t aEntry);
   void Deliver(const Reply& aReply);
   void OpenFlow();
@@ -153,12 +177,16 @@
   int ReceiverOf(const Steering::Decision& aDecision) const;
   /// \return true if neither the entry instance nor a control instance had a fault recently.
   bool IsStable(const Entry& aEntry) const;
+  void CheckEvacuationRevision(const Entry& aEntry);
+  void CheckEvacuations(const Entry& aEntry, const Steering::Decision& aDecision);
   void CheckOpening(const Entry& aEntry, const Steering::Decision& aDecision);
   void ReportViolation(const std::string& aViolation);
 
   Base::RandomSource mRandom;
   Base::RandomSource mFlowRandom;
+  Base::RandomSource mEvacuationRandom;
   const ModelFault mFault;
+  const bool mHasEvacuations;
   Base::TimePoint mNow{ std::chrono::seconds(1000) };
   Steering::Settings mSettings;
   std::vector<Start> mStarts;
--- a/tests/auto/steering/fleetmodelflows.cpp
+++ b/tests/auto/steering/fleetmodelflows.cpp
@@ -131,17 +131,23 @@
       poll.set_directory_revision(position->second.second);
     }
     poll.set_declared_version(entry.mState.mRoutes.mVersion);
+    poll.set_evacuation_revision(entry.mState.mEvacuations.mRevision);
     Reply reply{ c, aEntry, {} };
     reply.mReply.set_connected(true);
     if (mFault == ModelFault::KeepPositionAfterRestart) {
       poll.set_directory_epoch(control.mTable.mEpoch);
     }
     Directory::FillReply(control.mTable, poll, mNow, reply.mReply);
+    const bool acceptOlderEvacuations = mFault == ModelFault::AcceptOlderEvacuations;
     const bool acceptOlder = mFault == ModelFault::AcceptOlderRoutes;
     if (acceptOlder || Directory::NewestVersion(control.mRoutes) > poll.declared_version()) {
       *reply.mReply.mutable_routes() =
         Directory::UpdateFrom(control.mRoutes, acceptOlder ? 0 : poll.declared_version());
     }
+    const lw::config::Evacuations& evacuations = mLog[control.mReportedEvacuations].evacuations();
+    if (acceptOlderEvacuations || evacuations.revision() > poll.evacuation_revision()) {
+      *reply.mReply.mutable_evacuations() = evacuations;
+    }
     mReplies.emplace(mNow + RandomDelay(50), std::move(reply));
   }
 }
@@ -166,7 +172,19 @@
       entry.mState.mDirectory.mNewest.erase(id);
     }
   }
-  Steering::ApplyPollReply(entry.mState, Base::InstanceId(control + 1), aReply.mReply, mNow);
+  if (mFault == ModelFault::AcceptOlderEvacuations && aReply.mReply.has_evacuations()) {
+    entry.mState.mEvacuations.mRevision = 0;
+  }
+  lw::fleet::PollReply applied = aReply.mReply;
+  if (mFault == ModelFault::IgnoreEvacuations) {
+    applied.clear_evacuations();
+  }
+  Steering::ApplyPollReply(entry.mState, Base::InstanceId(control + 1), applied, mNow);
+  const uint64_t revision = entry.mState.mEvacuations.mRevision;
+  if (revision < entry.mHighestEvacuationRevision) {
+    ReportViolation("an entry instance reverted to older evacuations");
+  }
+  entry.mHighestEvacuationRevision = revision;
   const uint64_t version = entry.mState.mRoutes.mVersion;
   if (version < entry.mHighestVersion) {
     ReportViolation("an entry instance reverted to an older configuration");
@@ -194,6 +212,31 @@
   return -1;
 }
 
+void
+FleetModel::CheckEvacuationRevision(const Entry& aEntry)
+{
+  if (!IsStable(aEntry)) {
+    return;
+  }
+  size_t due = mLog.size();
+  while (due > 0 && mNow - mCommittedAt[due - 1] <= kEvacuationBound) {
+    --due;
+  }
+  if (due > 0 && aEntry.mState.mEvacuations.mRevision < mLog[due - 1].evacuations().revision()) {
+    ReportViolation("a committed change of the evacuations is not in force after the bound");
+  }
+}
+
+void
+FleetModel::CheckEvacuations(const Entry& aEntry, const Steering::Decision& aDecision)
+{
+  const Directory::MergedUpstream* upstream =
+    Directory::Find(aEntry.mState.mDirectory, aDecision.mTag);
+  if (IsStable(aEntry) && IsEvacuationDue(upstream->mUpstream.mAvailabilityZone)) {
+    ReportViolation("an opening packet was sent to an evacuated availability zone");
+  }
+}
+
 void
 FleetModel::CheckOpening(const Entry& aEntry, const Steering::Decision& aDecision)
 {
@@ -229,10 +272,13 @@
   packet.mKind = Steering::PacketKind::Opening;
   packet.mSequence = mNextPort;
   const Steering::Decision decision = Steering::Steer(entry.mState, mSettings, packet, mNow);
+  CheckEvacuationRevision(entry);
   if (decision.mAction != Steering::Action::Forward) {
+    mRefused += decision.mReason == Steering::Reason::NoUpstream ? 1 : 0;
     return;
   }
   CheckOpening(entry, decision);
+  CheckEvacuations(entry, decision);
   const int receiver = ReceiverOf(decision);
   if (receiver >= 0) {
     ++mOpened;
@@ -255,6 +301,9 @@
   aPacket.mAge = kCopyAge;
   const Steering::Decision decision = Steering::Steer(aEntry.mState, mSettings, aPacket, mNow);
   const bool forwarded = decision.mAction == Steering::Action::Forward;
+  if (forwarded) {
+    CheckEvacuations(aEntry, decision);
+  }
   const bool connected = std::all_of(mEntries.begin(), mEntries.end(), [this](const Entry& aItem) {
     return mNow >= aItem.mDisconnectedUntil;
   });
