Apply evacuations of availability zones at lw-entry

Cause: lw-entry opened new flows in evacuated zones, because it did not use State.evacuations of the configuration feed.

Placement treats a share of 0 as a drain and ramps the weight up in four steps. Request services open no flows at a share of 0 and assign callers to a zone under slow start by a hash. The upstreams are not presented as draining to request services, because open flows of a draining upstream get no more requests after a grace period.

--- a/src/libs/membership/view.cpp
+++ b/src/libs/membership/view.cpp
@@ -76,7 +76,8 @@
 bool
 TakesNewWork(const Upstream& aUpstream, Base::TimePoint aNow)
 {
-  return aUpstream.mState == UpstreamState::Active && IsUsable(aUpstream, aNow);
+  return aUpstream.mState == UpstreamState::Active && aUpstream.mNewWorkShare > 0 &&
+         IsUsable(aUpstream, aNow);
 }
 
 bool
--- a/src/libs/membership/view.h
+++ b/src/libs/membership/view.h
@@ -46,6 +46,9 @@
   Base::ServiceGeneration mGeneration;
   uint64_t mStartId = 0;
   UpstreamState mState = UpstreamState::Active;
+  /// Share of the new flows that may go to the upstream because of its availability zone: 0 while
+  /// the zone is evacuated, and less than 1 during its slow start. Flows that are open stay.
+  double mNewWorkShare = 1;
   /// Maximum number of concurrent requests.
   uint32_t mSlots = 1;
   /// Reported number of running requests.
--- a/src/libs/placement/upstreams.cpp
+++ b/src/libs/placement/upstreams.cpp
@@ -20,7 +20,9 @@
     status.mWeight = upstream.mSlots;
     status.mUsableFrom = upstream.mUsableFrom;
     status.mLeaseEnd = upstream.mLeaseEnd;
-    status.mDraining = upstream.mState == Membership::UpstreamState::Draining;
+    status.mDraining =
+      upstream.mState == Membership::UpstreamState::Draining || upstream.mNewWorkShare <= 0;
+    status.mNewWorkShare = upstream.mNewWorkShare;
     const UpstreamStatus* known = FindUpstream(aPrevious, upstream.mEndpoint);
     const bool wasDraining = known != nullptr && known->mDraining;
     status.mDrainingSince = wasDraining ? known->mDrainingSince : aNow;
@@ -76,8 +78,12 @@
     static_cast<uint64_t>(aSettings.mRampDuration.count() > 0
                             ? age * static_cast<int64_t>(steps) / aSettings.mRampDuration
                             : steps);
+  // Whole steps, because each change of a weight moves slots.
+  const auto zoneSteps =
+    static_cast<uint64_t>(aUpstream.mNewWorkShare * static_cast<double>(steps));
   // At least one step, because an upstream without slots gets no traffic to warm up.
-  return aUpstream.mWeight * std::min(passed + 1, steps);
+  const uint64_t allowed = std::max<uint64_t>(zoneSteps, 1);
+  return aUpstream.mWeight * std::min({ passed + 1, steps, allowed });
 }
 
 } // namespace Placement
--- a/src/libs/placement/upstreams.h
+++ b/src/libs/placement/upstreams.h
@@ -14,7 +14,10 @@
   uint32_t mWeight = 0;
   Base::TimePoint mUsableFrom;
   Base::TimePoint mLeaseEnd;
+  /// True also while the availability zone of the upstream is evacuated.
   bool mDraining = false;
+  /// See Membership::Upstream.
+  double mNewWorkShare = 1;
   /// Time at which this instance first saw the upstream draining.
   Base::TimePoint mDrainingSince;
 };
@@ -47,7 +50,8 @@
 bool
 TakesNewFlows(const UpstreamStatus& aUpstream, const Settings& aSettings, Base::TimePoint aNow);
 
-/// \return the upstream's weight for the planner: 0 unless it is active, reduced during slow start.
+/// \return the upstream's weight for the planner: 0 unless it is active, reduced during the
+/// slow start of the upstream and that of its availability zone after an evacuation.
 uint64_t
 RampedWeight(const UpstreamStatus& aUpstream, const Settings& aSettings, Base::TimePoint aNow);
 
--- a/src/tools/entry/configfollower.cpp
+++ b/src/tools/entry/configfollower.cpp
@@ -1,6 +1,7 @@
 #include "configfollower.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "distribution/statefile.h"
 
 #include <glog/logging.h>
@@ -19,12 +20,15 @@
                                PeerTransport& aTransport,
                                const Base::Snapshot<Membership::View>& aView,
                                Base::Snapshot<Config::ServiceIndex>& aServices,
+                               Base::Snapshot<Steering::Evacuations>& aEvacuations,
                                Metrics::Registry& aMetrics)
   : mSettings(aSettings)
   , mTransport(aTransport)
   , mView(aView)
   , mServices(aServices)
+  , mEvacuations(aEvacuations)
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
+  , mEvacuatedGauge(aMetrics.GaugeFor("zones_evacuated"))
   , mRefused(aMetrics.CounterFor("config_revisions_refused_total"))
   , mRandom{ aSeed }
 {
@@ -138,6 +142,20 @@
 {
   mServices.Publish(Config::BuildServiceIndex(mFollower.mState));
   mVersionGauge.Set(static_cast<int64_t>(mFollower.mState.version()));
+  PublishEvacuations();
+}
+
+void
+ConfigFollower::PublishEvacuations()
+{
+  auto evacuations = std::make_shared<Steering::Evacuations>(*mEvacuations.Load());
+  if (Steering::Update(*evacuations, mFollower.mState.evacuations(), Base::RuntimeClock::now())) {
+    LOG(INFO) << "[config] Evacuated availability zones: "
+              << absl::StrJoin(evacuations->mZones, ", ") << " (revision " << evacuations->mRevision
+              << ").";
+    mEvacuatedGauge.Set(static_cast<int64_t>(evacuations->mZones.size()));
+    mEvacuations.Publish(std::move(evacuations));
+  }
 }
 
 void
--- a/src/tools/entry/configfollower.h
+++ b/src/tools/entry/configfollower.h
@@ -8,6 +8,7 @@
 #include "membership/view.h"
 #include "metrics/registry.h"
 #include "peertransport.h"
+#include "steering/evacuations.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -25,6 +26,7 @@
                  PeerTransport& aTransport,
                  const Base::Snapshot<Membership::View>& aView,
                  Base::Snapshot<Config::ServiceIndex>& aServices,
+                 Base::Snapshot<Steering::Evacuations>& aEvacuations,
                  Metrics::Registry& aMetrics);
   ~ConfigFollower();
 
@@ -40,6 +42,7 @@
   void HandlePeer(const PeerSender& aSender, absl::string_view aPayload);
   void ApplyEffects(const Distribution::Effects& aEffects);
   void Publish();
+  void PublishEvacuations();
   void RunControlPulls();
   bool PullFrom(void* aContext, const Base::Endpoint& aFeed);
 
@@ -47,7 +50,9 @@
   PeerTransport& mTransport;
   const Base::Snapshot<Membership::View>& mView;
   Base::Snapshot<Config::ServiceIndex>& mServices;
+  Base::Snapshot<Steering::Evacuations>& mEvacuations;
   Metrics::Gauge& mVersionGauge;
+  Metrics::Gauge& mEvacuatedGauge;
   Metrics::Counter& mRefused;
   Distribution::FollowerSettings mFollowerSettings;
 
--- a/src/tools/entry/membershipagent.cpp
+++ b/src/tools/entry/membershipagent.cpp
@@ -1,6 +1,7 @@
 #include "membershipagent.h"
 
 #include "base/hash.h"
+#include "evacuationfilter.h"
 #include "membership/protocol.h"
 #include "membership/viewbuilder.h"
 
@@ -68,9 +69,11 @@
                                  Base::Incarnation aIncarnation,
                                  PeerTransport& aTransport,
                                  const Base::Snapshot<Config::ServiceIndex>& aServices,
+                                 const Base::Snapshot<Steering::Evacuations>& aEvacuations,
                                  Metrics::Registry& aMetrics)
   : mTransport(aTransport)
   , mServices(aServices)
+  , mEvacuations(aEvacuations)
   , mTimer(aContext)
   , mSentMessages(aMetrics.CounterFor("membership_sent_messages_total"))
   , mSentBytes(aMetrics.CounterFor("membership_sent_bytes_total"))
@@ -198,13 +201,17 @@
 void
 MembershipAgent::PublishIfDue(Base::TimePoint aNow)
 {
-  const bool changed = mState.mRevision != mPublishedRevision;
+  const uint64_t evacuations = mEvacuations.Revision();
+  const bool changed =
+    mState.mRevision != mPublishedRevision || evacuations != mPublishedEvacuations;
   if (!changed && aNow - mPublishedAt < kPublishInterval) {
     return;
   }
   mPublishedRevision = mState.mRevision;
+  mPublishedEvacuations = evacuations;
   mPublishedAt = aNow;
   auto view = std::make_shared<Membership::View>(Membership::BuildView(mState, aNow));
+  ApplyEvacuations(*mEvacuations.Load(), aNow, *view);
   mMembers.Set(static_cast<int64_t>(view->mMembers.size()));
   mUpstreams.Set(static_cast<int64_t>(view->mUpstreams.size()));
   mView.Publish(std::move(view));
--- a/src/tools/entry/membershipagent.h
+++ b/src/tools/entry/membershipagent.h
@@ -10,6 +10,7 @@
 #include "membership/view.h"
 #include "metrics/registry.h"
 #include "peertransport.h"
+#include "steering/evacuations.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
@@ -27,6 +28,7 @@
                   Base::Incarnation aIncarnation,
                   PeerTransport& aTransport,
                   const Base::Snapshot<Config::ServiceIndex>& aServices,
+                  const Base::Snapshot<Steering::Evacuations>& aEvacuations,
                   Metrics::Registry& aMetrics);
 
   void Start();
@@ -59,6 +61,7 @@
 
   PeerTransport& mTransport;
   const Base::Snapshot<Config::ServiceIndex>& mServices;
+  const Base::Snapshot<Steering::Evacuations>& mEvacuations;
   Membership::Settings mSettings;
   Timer mTimer;
   std::vector<CountedEvent> mEvents;
@@ -74,6 +77,8 @@
   Membership::Counts mReportedCounts;
   Base::ConfigVersion mAppliedVersion;
   uint64_t mPublishedRevision = 0;
+  /// Revision of the snapshot of the evacuations, which is not that of the list.
+  uint64_t mPublishedEvacuations = 0;
   Base::TimePoint mPublishedAt;
   Base::Snapshot<Membership::View> mView;
 };
--- a/src/tools/entry/node.cpp
+++ b/src/tools/entry/node.cpp
@@ -19,8 +19,15 @@
   : mSettings(aSettings)
   , mTransport(mContext, { aSettings.mInstance, aIncarnation, aSettings.mPeerListen }, mMetrics)
   , mServices(std::make_shared<Config::ServiceIndex>())
-  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices, mMetrics)
-  , mConfig(mSettings, aIncarnation.mValue, mTransport, mMembership.View(), mServices, mMetrics)
+  , mEvacuations(std::make_shared<Steering::Evacuations>())
+  , mMembership(mContext, mSettings, aIncarnation, mTransport, mServices, mEvacuations, mMetrics)
+  , mConfig(mSettings,
+            aIncarnation.mValue,
+            mTransport,
+            mMembership.View(),
+            mServices,
+            mEvacuations,
+            mMetrics)
   , mDatapath(mSettings, mServices, mMembership.View(), mMetrics)
   , mPorts(MakePorts())
   , mOpaque(mPorts, mMembership.View(), mServices, mMetrics)
--- a/src/tools/entry/node.h
+++ b/src/tools/entry/node.h
@@ -12,6 +12,7 @@
 #include "packetports.h"
 #include "peertransport.h"
 #include "requestpath.h"
+#include "steering/evacuations.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,7 @@
   boost::asio::io_context mContext{ 1 };
   PeerTransport mTransport;
   Base::Snapshot<Config::ServiceIndex> mServices;
+  Base::Snapshot<Steering::Evacuations> mEvacuations;
   MembershipAgent mMembership;
   ConfigFollower mConfig;
   Datapath mDatapath;
--- a/src/tools/entry/requestpath.cpp
+++ b/src/tools/entry/requestpath.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace Entry {
@@ -49,6 +50,17 @@
   return aBound - std::min(aBound, aUsed);
 }
 
+/// \return false if new flows of the caller avoid the upstream during the slow start of its
+/// availability zone. All instances agree, and as the share rises, a caller changes at most once.
+bool
+IsAdmitted(const Membership::Upstream& aUpstream, const Base::Endpoint& aCaller)
+{
+  constexpr uint64_t kResolution = 1000;
+  const uint64_t zone = Base::StableHash(aUpstream.mAvailabilityZone);
+  const uint64_t position = Base::StableHash({ Base::Pack(aCaller), zone }) % kResolution;
+  return static_cast<double>(position) < aUpstream.mNewWorkShare * kResolution;
+}
+
 } // namespace
 
 RequestPath::Shard::Shard(const Base::Snapshot<Membership::View>& aView,
@@ -137,14 +149,16 @@
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
   std::optional<Base::Endpoint> best;
-  std::pair<bool, uint64_t> bestScore;
+  std::tuple<bool, bool, uint64_t> bestScore;
   for (const Membership::Upstream& upstream : aView.mUpstreams) {
     if (upstream.mGeneration != aService.mGeneration || !Membership::TakesNewWork(upstream, now)) {
       continue;
     }
     const bool isSameZone = upstream.mAvailabilityZone == aView.mAvailabilityZone;
-    const std::pair<bool, uint64_t> score(
-      isSameZone, Base::StableHash({ Base::Pack(aCaller), Base::Pack(upstream.mEndpoint) }));
+    const std::tuple<bool, bool, uint64_t> score(
+      IsAdmitted(upstream, aCaller),
+      isSameZone,
+      Base::StableHash({ Base::Pack(aCaller), Base::Pack(upstream.mEndpoint) }));
     if (!best.has_value() || score > bestScore) {
       best = upstream.mEndpoint;
       bestScore = score;
--- a/tests/auto/entryrequests/tst_requestpath.cpp
+++ b/tests/auto/entryrequests/tst_requestpath.cpp
@@ -16,6 +16,8 @@
 
 constexpr Base::Endpoint kService{ 0xC0000201, 7000 };
 constexpr uint16_t kUpstreams = 5;
+/// The others are in another availability zone.
+constexpr uint16_t kUpstreamsOfFirstZone = 3;
 constexpr uint16_t kCallers = 40;
 constexpr uint64_t kRequests = 30;
 constexpr int kThreads = 4;
@@ -117,6 +119,8 @@
 {
   Network mNetwork;
   std::vector<std::unique_ptr<Instance>> mInstances;
+  /// Share of new work of the upstreams of the first availability zone.
+  double mFirstZoneShare = 1;
   std::shared_ptr<Config::ServiceView> mService = std::make_shared<Config::ServiceView>();
 
   void setup() override
@@ -153,6 +157,8 @@
         upstream.mGeneration = Base::ServiceGeneration(1);
         upstream.mSlots = 4;
         upstream.mLeaseEnd = Base::TimePoint::max();
+        upstream.mAvailabilityZone = port <= kUpstreamsOfFirstZone ? "a" : "b";
+        upstream.mNewWorkShare = port <= kUpstreamsOfFirstZone ? mFirstZoneShare : 1;
         view->mUpstreams.push_back(upstream);
       }
       instance->mView.Publish(view);
@@ -206,16 +212,33 @@
     return !works.empty() || !payloads.empty();
   }
 
-  void OpenAll()
+  void OpenAll(uint16_t aFirst = 1)
   {
-    for (uint16_t caller = 1; caller <= kCallers; ++caller) {
+    for (uint16_t caller = aFirst; caller < aFirst + kCallers; ++caller) {
       lw::caller::CallerPacket packet;
       packet.mutable_open()->set_open_id(caller);
       Send(caller % 2, caller, packet);
     }
     while (Deliver()) {
     }
-    UNSIGNED_LONGS_EQUAL(kCallers, mNetwork.mOpened.size());
+    UNSIGNED_LONGS_EQUAL(aFirst + kCallers - 1, mNetwork.mOpened.size());
+  }
+
+  /// Sends a request of each of the callers and answers it.
+  /// \return the number of requests that were dispatched to the first availability zone.
+  int CountDispatchedToFirstZone(uint16_t aFirst, uint64_t aNumber)
+  {
+    for (uint16_t caller = aFirst; caller < aFirst + kCallers; ++caller) {
+      SendRequest(caller % 2, caller, aNumber);
+    }
+    int dispatched = 0;
+    do {
+      const std::lock_guard<std::mutex> lock(mNetwork.mMutex);
+      for (const Network::Work& work : mNetwork.mWorks) {
+        dispatched += work.mUpstream.mPort <= kUpstreamsOfFirstZone ? 1 : 0;
+      }
+    } while (Deliver());
+    return dispatched;
   }
 
   /// Waits until the callers have received aCount answers. The time limit makes the test fail if an
@@ -313,3 +336,23 @@
   }
   CheckAll(kRequests + 1);
 }
+
+// Guards against new flows at upstreams of an evacuated availability zone, against open flows there
+// that are not served any more, and against a readmitted zone that gets all new flows at once or
+// none.
+TEST(RequestPath, NewFlowsAvoidAnEvacuatedZone)
+{
+  OpenAll();
+  const int open = CountDispatchedToFirstZone(1, 1);
+  CHECK_TRUE(open > 0 && open < kCallers);
+  mFirstZoneShare = 0;
+  PublishViews(Membership::MemberState::Alive, 2);
+  OpenAll(kCallers + 1);
+  LONGS_EQUAL(0, CountDispatchedToFirstZone(kCallers + 1, 1));
+  LONGS_EQUAL(open, CountDispatchedToFirstZone(1, 2));
+  mFirstZoneShare = 0.25;
+  PublishViews(Membership::MemberState::Alive, 2);
+  OpenAll(2 * kCallers + 1);
+  const int readmitted = CountDispatchedToFirstZone(2 * kCallers + 1, 1);
+  CHECK_TRUE(readmitted > 0 && readmitted < kCallers / 2);
+}
--- a/tests/auto/membership/tst_view.cpp
+++ b/tests/auto/membership/tst_view.cpp
@@ -40,6 +40,20 @@
   CHECK_FALSE(Membership::TakesNewWork(upstream, start + 6s));
 }
 
+// Guards against new work for an upstream of an evacuated availability zone, and against the end of
+// its open flows.
+TEST(View, UpstreamOfAnEvacuatedZoneIsUsableWithoutNewWork)
+{
+  const Base::TimePoint now(10s);
+  Membership::Upstream upstream;
+  upstream.mLeaseEnd = now + 5s;
+  upstream.mNewWorkShare = 0;
+  CHECK_TRUE(Membership::IsUsable(upstream, now));
+  CHECK_FALSE(Membership::TakesNewWork(upstream, now));
+  upstream.mNewWorkShare = 0.25;
+  CHECK_TRUE(Membership::TakesNewWork(upstream, now));
+}
+
 // Guards against an upstream that loses its dispatcher when another availability zone is
 // partitioned.
 TEST(View, DispatchesFromTheUpstreamsAvailabilityZone)
--- a/tests/auto/placement/tst_cluster.cpp
+++ b/tests/auto/placement/tst_cluster.cpp
@@ -99,6 +99,33 @@
     });
 }
 
+// Guards against flows that break when an availability zone is evacuated and readmitted, and
+// against new flows there later than 3 s after the views have changed.
+TEST(Cluster, KeepsFlowsWhenAZoneIsEvacuatedAndReadmitted)
+{
+  const auto setShare = [](Cluster& aCluster, double aShare) {
+    for (size_t i = 0; i < 2; ++i) {
+      aCluster.mUpstreams[i].mNewWorkShare = aShare;
+      aCluster.mDrainStart[aCluster.mUpstreams[i].mEndpoint] = aCluster.mNow;
+    }
+    Measure::SpreadMembership(aCluster, 100ms);
+  };
+  CheckNoBrokenFlow([&](Cluster& aCluster) {
+    setShare(aCluster, 0);
+    for (int second = 0; second < 6; ++second) {
+      Measure::OpenFlows(aCluster, 50);
+      Measure::RunFor(aCluster, 1s);
+    }
+    LONGS_EQUAL(0, aCluster.mCounts.mLateNewWork);
+    const Placement::SlotTable& table = aCluster.mInstances.begin()->second.mControl.mCopy.mTable;
+    for (const Placement::Slot& slot : table.mSlots) {
+      CHECK_TRUE(table.mUpstreams[slot.mCurrent] != FirstUpstream(aCluster));
+    }
+    setShare(aCluster, 1);
+    aCluster.mDrainStart.clear();
+  });
+}
+
 // Guards against flow records that are lost when the slot owner leaves.
 TEST(Cluster, KeepsFlowsWhenAnOwnerLeavesDuringADrain)
 {
--- a/tests/auto/placement/tst_planner.cpp
+++ b/tests/auto/placement/tst_planner.cpp
@@ -160,6 +160,29 @@
   CheckEven(table, 5);
 }
 
+// Guards against a readmitted availability zone whose upstreams get all their slots back at once,
+// or never.
+TEST(Planner, RampsUpAReadmittedZone)
+{
+  SlotTable table;
+  Upstreams upstreams = MakeUpstreams(4);
+  ApplyPlan(table, upstreams);
+  upstreams[3].mDraining = true;
+  upstreams[3].mNewWorkShare = 0;
+  ApplyPlan(table, upstreams);
+  UNSIGNED_LONGS_EQUAL(0, CountSlots(table)[3]);
+  upstreams[3].mDraining = false;
+  uint32_t previous = 0;
+  for (const double share : { 0.25, 0.5, 0.75, 1.0 }) {
+    upstreams[3].mNewWorkShare = share;
+    ApplyPlan(table, upstreams);
+    const uint32_t count = CountSlots(table)[3];
+    CHECK_TRUE(count > previous && count - previous < 350);
+    previous = count;
+  }
+  CheckEven(table, 4);
+}
+
 // Guards against flows that break because an owner placed them elsewhere after an upstream was
 // lost: the slots must stay ambiguous although the older upstream is gone.
 TEST(Planner, KeepsSlotsOfALostUpstreamAmbiguousUntilIdle)
--- a/tests/auto/requests/tst_owner.cpp
+++ b/tests/auto/requests/tst_owner.cpp
@@ -292,6 +292,23 @@
   UNSIGNED_LONGS_EQUAL(1, AnswerPieces(mNode.Upstream(MakePiece(running, 0, 1, "a"))).size());
 }
 
+// Guards against new flows at an upstream of an evacuated availability zone, and against an open
+// flow there that gets no more work, as it would at a draining upstream.
+TEST(Owner, UpstreamOfAnEvacuatedZoneServesOnlyOpenFlows)
+{
+  WarmUp(3);
+  mNode.mView.mUpstreams[0].mNewWorkShare = 0;
+  mNode.Tick();
+  Dispatch(1);
+  mNode.Advance(seconds(10));
+  mNode.Tick();
+  Dispatch(2);
+  CHECK_TRUE(HasEvent(mNode.Caller(MakeOpen(5)), Event::OpenNoUpstream));
+  mNode.mView.mUpstreams[0].mNewWorkShare = 1;
+  mNode.Tick();
+  CHECK_FALSE(Open(mNode, 6).mTicket.empty());
+}
+
 // Guards against exceeding the limit of the flow table, and against idle flows that are never
 // removed.
 TEST(Owner, FullFlowTableRefusesNewFlows)
