Test that polls contain the revision of the evacuations in force

Cause: without the revision, every poll reply would contain the list again.

Change: a test in tst_fleet receives a poll on a socket of its own.

--- a/tests/auto/fleet/tst_poller.cpp
+++ b/tests/auto/fleet/tst_poller.cpp
@@ -90,6 +90,33 @@
   poller.Stop();
 }
 
+// Guards against a poller that does not report the revision of the evacuations in force, so that
+// every reply would contain the whole list again.
+TEST(Poller, PollsContainTheEvacuationRevision)
+{
+  constexpr uint64_t kRevision = 7;
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  zmq::context_t context;
+  zmq::socket_t server(context, zmq::socket_type::router);
+  server.set(zmq::sockopt::linger, 0);
+  server.set(zmq::sockopt::rcvtimeo, 30000);
+  server.bind("tcp://" + Base::ToString(listen));
+  Fleet::PollerSettings settings;
+  settings.mPollPort = listen.mPort;
+  Fleet::Poller poller(settings,
+                       [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
+  poller.SetEvacuationRevision(kRevision);
+  poller.SetSeeds({ Base::InstanceId(kLoopback) });
+  poller.Start();
+  zmq::message_t sender;
+  zmq::message_t bytes;
+  CHECK_TRUE(server.recv(sender).has_value() && server.recv(bytes).has_value());
+  lw::fleet::Poll poll;
+  CHECK_TRUE(poll.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())));
+  LONGS_EQUAL(kRevision, poll.evacuation_revision());
+  poller.Stop();
+}
+
 // Guards against a control instance that stops replying and is not reported as lost, or is not
 // polled again after it has recovered.
 TEST(Poller, LostAndRegainedControlInstancesAreReported)
