--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -46,6 +46,8 @@
   , mVersionGauge(aMetrics.GaugeFor("config_version_in_force"))
   , mUpstreamsGauge(aMetrics.GaugeFor("upstreams_known"))
   , mColdLimitedCounter(aMetrics.CounterFor("cold_start_limited_total"))
+  , mEvacuatedGauge(aMetrics.GaugeFor("zones_evacuated"))
+  , mDivertedCounter(aMetrics.CounterFor("openings_diverted_total"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
   , mEarlyHeldCounter(aMetrics.CounterFor("early_packets_held_total"))
   , mEarlyReleasedCounter(aMetrics.CounterFor("early_packets_released_total"))
@@ -139,6 +141,10 @@
   if (aDecision.mColdLimited > 0) {
     mColdLimitedCounter.Add();
   }
+  // A held packet is counted when it is released or refused.
+  if (aDecision.mIsDiverted && aDecision.mAction != Steering::Action::Hold) {
+    mDivertedCounter.Add();
+  }
   if (aDecision.mHandshake.has_value()) {
     mHandshakeHistogram.Observe(*aDecision.mHandshake);
   }
@@ -260,6 +266,7 @@
   if (aEvent.mRegained) {
     mEvents.Add(EventLog::Line("control_regained").Add("control", control), now);
   }
+  const Steering::Evacuations evacuations = mState.mEvacuations;
   const bool routesChanged = Steering::ApplyPollReply(mState, aEvent.mControl, *aEvent.mReply, now);
   if (routesChanged) {
     mPoller.SetDeclaredVersion(mState.mRoutes.mVersion);
@@ -270,6 +277,9 @@
                   .Add("control", control),
                 now);
   }
+  if (mState.mEvacuations.mRevision != evacuations.mRevision) {
+    PublishEvacuations(evacuations, control);
+  }
   for (const lw::fleet::Upstream& upstream : aEvent.mReply->upstreams()) {
     mEvents.Add(EventLog::Line("upstream")
                   .Add("upstream", absl::StrCat(absl::Hex(upstream.id())))
@@ -300,6 +310,29 @@
   }
 }
 
+void
+EntryNode::PublishEvacuations(const Steering::Evacuations& aPrevious, const std::string& aControl)
+{
+  const Steering::Evacuations& current = mState.mEvacuations;
+  mPoller.SetEvacuationRevision(current.mRevision);
+  mEvacuatedGauge.Set(static_cast<int64_t>(current.mZones.size()));
+  const auto logAdded = [&](const char* aEvent,
+                            const Steering::Evacuations& aBefore,
+                            const Steering::Evacuations& aAfter) {
+    for (const std::string& zone : aAfter.mZones) {
+      if (!Steering::IsEvacuated(aBefore, zone)) {
+        mEvents.Add(EventLog::Line(aEvent)
+                      .Add("availability_zone", zone)
+                      .Add("revision", static_cast<int64_t>(current.mRevision))
+                      .Add("control", aControl),
+                    Base::RuntimeClock::now());
+      }
+    }
+  };
+  logAdded("zone_evacuated", aPrevious, current);
+  logAdded("zone_readmitted", current, aPrevious);
+}
+
 void
 EntryNode::WaitForTick()
 {
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace Fleet {
@@ -61,6 +62,8 @@
   void ReceiveReports();
   void WaitForRelease();
   void ReleaseOpenings();
+  /// Logs the availability zones whose evacuation has begun or ended.
+  void PublishEvacuations(const Steering::Evacuations& aPrevious, const std::string& aControl);
   /// Decides early packets again.
   void ReleaseEarlyPackets();
   void ExpireEarlyPackets();
@@ -79,6 +82,8 @@
   Metrics::Gauge& mVersionGauge;
   Metrics::Gauge& mUpstreamsGauge;
   Metrics::Counter& mColdLimitedCounter;
+  Metrics::Gauge& mEvacuatedGauge;
+  Metrics::Counter& mDivertedCounter;
   Metrics::Histogram& mHandshakeHistogram;
   Metrics::Counter& mEarlyHeldCounter;
   Metrics::Counter& mEarlyReleasedCounter;
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -76,6 +76,21 @@
 
 namespace {
 
+/// \return true if the service has upstreams in this instance's availability zone, and the zone is
+/// evacuated.
+bool
+IsDiverted(const State& aState, const Settings& aSettings, const std::string& aService)
+{
+  const std::string& zone = aSettings.mAvailabilityZone;
+  const auto& upstreams = aState.mDirectory.mByTag;
+  return IsEvacuated(aState.mEvacuations, zone) &&
+         std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
+           const Directory::Upstream& upstream = aItem.second.mUpstream;
+           return upstream.mState == Directory::State::Ready && upstream.mService == aService &&
+                  upstream.mAvailabilityZone == zone;
+         });
+}
+
 Choice
 ChooseFor(State& aState,
           const Settings& aSettings,
@@ -86,6 +101,7 @@
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
   const ChoiceInput input{ aState.mDirectory,
                            aState.mLoads,
+                           aState.mEvacuations,
                            aFlow.mService,
                            aSettings.mAvailabilityZone,
                            aFlow.mTriedUpstreams,
@@ -94,7 +110,9 @@
                            aState.mInstances,
                            aIsLate,
                            aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts };
-  return ChooseUpstream(input, aState.mRandom);
+  Choice choice = ChooseUpstream(input, aState.mRandom);
+  choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
+  return choice;
 }
 
 /// \return the action for a flow that can't be served. A flow that was forwarded before may just
@@ -117,7 +135,10 @@
   if (aChoice.mUpstream == nullptr) {
     // Before the directory is complete, an unknown upstream may be able to serve the flow.
     const bool complete = IsDirectoryComplete(aState, aSettings, aNow);
-    return Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
+    Decision refusal =
+      Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
+    refusal.mIsDiverted = aChoice.mIsDiverted;
+    return refusal;
   }
   RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mHeld = false;
@@ -136,6 +157,7 @@
   decision.mCandidates = aChoice.mCandidates;
   decision.mColdLimited = aChoice.mColdLimited;
   decision.mOutstanding = aChoice.mOutstanding;
+  decision.mIsDiverted = aChoice.mIsDiverted;
   return decision;
 }
 
@@ -172,6 +194,7 @@
   decision.mOwnFlows = aChoice.mOwnFlows;
   decision.mPeerFlows = aChoice.mPeerFlows;
   decision.mOwnLimit = aChoice.mOwnLimit;
+  decision.mIsDiverted = aChoice.mIsDiverted;
   return decision;
 }
 
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -310,6 +310,9 @@
   if (aReply.connected()) {
     aState.mConnectedAt = aNow;
   }
+  if (aReply.has_evacuations()) {
+    Update(aState.mEvacuations, aReply.evacuations(), aNow);
+  }
   if (!aReply.has_routes() || !Update(aState.mRoutes, aReply.routes())) {
     return false;
   }
@@ -364,6 +367,7 @@
   }
   RemoveUnusedLoads(aState.mLoads, aNow);
   Directory::RemoveExpiredUpstreams(aState.mDirectory, aNow);
+  ExpireSlowStarts(aState.mEvacuations, aNow);
 }
 
 void
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -5,6 +5,7 @@
 #include "steering/choice.h"
 #include "steering/coldstart.h"
 #include "steering/earlypackets.h"
+#include "steering/evacuations.h"
 #include "steering/flowload.h"
 #include "steering/flowpins.h"
 #include "steering/flowtable.h"
@@ -103,6 +104,9 @@
   /// Cold upstreams that were excluded because this instance may not send to them now.
   size_t mColdLimited = 0;
   uint32_t mOutstanding = 0;
+  /// True if upstreams of this instance's availability zone were excluded from the choice because
+  /// the zone is evacuated.
+  bool mIsDiverted = false;
   /// Why no upstream has room: flows of this instance and of its peers in the availability zone,
   /// and the number that this instance may always have.
   uint32_t mOwnFlows = 0;
@@ -133,6 +137,7 @@
 {
   RouteTable mRoutes;
   Directory::MergedDirectory mDirectory;
+  Evacuations mEvacuations;
   FlowTable mFlows;
   FlowPins mPins;
   RequestTable mRequests;
@@ -161,7 +166,7 @@
 Decision
 Steer(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow);
 
-/// Applies the poll reply of a control instance.
+/// Applies the poll reply of a control instance, including the evacuated availability zones.
 /// \return true if it brought a new configuration into force.
 bool
 ApplyPollReply(State& aState,
@@ -204,8 +209,9 @@
 std::vector<ReleasedPacket>
 ExpireEarlyPackets(State& aState, Base::TimePoint aNow);
 
-/// Expires idle flows, pins, load reports and upstreams, and records unanswered opening packets. To
-/// be called about every 100 ms, so that unanswered packets are recorded soon after kAnswerTimeout.
+/// Expires idle flows, pins, load reports, upstreams and slow starts, and records unanswered
+/// opening packets. To be called about every 100 ms, so that unanswered packets are recorded soon
+/// after kAnswerTimeout.
 void
 Expire(State& aState, Base::TimePoint aNow);
 
