Give each entry instance its own part of a zone's upstreams

Reports of peers are up to 126 ms old with 42 instances in a zone, while a request takes 30 ms, so many instances choose by reports that say nothing about the current load. Flows wait at one upstream while an equal one is idle.

The instances of a zone now divide the capacity of its upstreams evenly. Each first uses its own part, two shares wide, as long as it has a slot that is free of own flows, and samples two of all upstreams otherwise. Reported flows count less the older reports are compared with the mean duration of a request. With fewer than 3 live instances, nothing changes.

lw-measure choice gets the comparison of the alternatives. It crashed at a load of 0.95 since there is a limit on flows: a flow without room is now placed again after 10 ms.

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -58,6 +58,7 @@
   mState.mRandom.mState = aSettings.mSeed;
   mState.mPins.mSelf = aSettings.mLoadReportListen.mAddress;
   mIncarnation = Base::NextRandom(mState.mRandom);
+  mState.mInstance = mSettings.mLoadReportListen.mAddress;
   for (size_t i = 0; i < mDecisionCounters.size(); ++i) {
     const char* reason = Steering::ToString(static_cast<Steering::Reason>(i));
     mDecisionCounters[i] =
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <tuple>
 
 namespace Steering {
 
@@ -20,6 +22,9 @@
 /// Upstreams sampled from the local availability zone and from the remote ones.
 constexpr int kLocalSamples = 3;
 constexpr int kRemoteSamples = 1;
+/// Local samples if no upstream of the instance's part has a free slot. Fewer, because reports are
+/// old then compared with the requests, and the best of many samples is one that others choose too.
+constexpr int kSamplesBesidePart = 2;
 /// Added to the cost of an upstream in a remote availability zone, in flows per slot. With a lower
 /// penalty, flows cross availability zones while local slots are free, and fail if the link between
 /// the zones fails.
@@ -75,16 +80,24 @@
            : Healthy;
 }
 
+/// \param aPeerFlowsPerSlot are the flows that peers are expected to have placed since their
+/// reports.
 double
-Cost(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
+Cost(const ChoiceInput& aInput,
+     const Directory::MergedUpstream& aUpstream,
+     double aPeerFlowsPerSlot)
 {
   const Load load = LoadOf(aInput.mLoads, aUpstream.mTag);
-  const double flows = static_cast<double>(load.mOwnFlows) + load.mPeerFlows + 1;
+  const bool remote = aUpstream.mUpstream.mAvailabilityZone != aInput.mAvailabilityZone;
+  const double weight = remote ? 1 : aInput.mReportWeight;
+  const double flows = load.mOwnFlows + weight * load.mPeerFlows + 1;
   double cost = flows / aUpstream.mUpstream.mSlots;
+  if (!remote) {
+    cost += aPeerFlowsPerSlot;
+  }
   if (aInput.mNow < aUpstream.mUpstream.mColdUntil) {
     cost *= kColdStartFactor;
   }
-  const bool remote = aUpstream.mUpstream.mAvailabilityZone != aInput.mAvailabilityZone;
   return remote ? cost + kRemotePenalty : cost;
 }
 
@@ -92,6 +105,7 @@
 SampleCandidates(const ChoiceInput& aInput,
                  const std::vector<const Directory::MergedUpstream*>& aCandidates,
                  int aSamples,
+                 double aPeerFlowsPerSlot,
                  Base::RandomSource& aRandom,
                  const Directory::MergedUpstream*& aBest,
                  double& aBestCost)
@@ -99,7 +113,7 @@
   for (int i = 0; i < aSamples && !aCandidates.empty(); ++i) {
     const Directory::MergedUpstream* sampled =
       aCandidates[Base::NextBelow(aRandom, aCandidates.size())];
-    const double cost = Cost(aInput, *sampled);
+    const double cost = Cost(aInput, *sampled, aPeerFlowsPerSlot);
     if (aBest == nullptr || cost < aBestCost) {
       aBest = sampled;
       aBestCost = cost;
@@ -158,6 +172,77 @@
   return aCandidates.mRemoteLoad.mOwnFlows < share;
 }
 
+/// \return the flows for each slot that peers are expected to have placed since their reports. They
+/// count only if the availability zone is full: otherwise, they are the same for all its upstreams
+/// and would only send flows to remote ones while local slots are free.
+double
+ExpectedPeerFlowsPerSlot(const ChoiceInput& aInput, const PlaceLoad& aLocal)
+{
+  if (aLocal.mOwnFlows + aLocal.mPeerFlows < aLocal.mSlots || aLocal.mSlots == 0) {
+    return 0;
+  }
+  return (1 - aInput.mReportWeight) * aLocal.mPeerFlows / aLocal.mSlots;
+}
+
+/// \return the local upstreams in an order that all instances agree on. A restarted upstream keeps
+/// its place.
+std::vector<const Directory::MergedUpstream*>
+OrderedById(std::vector<const Directory::MergedUpstream*> aUpstreams)
+{
+  std::sort(aUpstreams.begin(), aUpstreams.end(), [](const auto* aFirst, const auto* aSecond) {
+    const auto& first = aFirst->mUpstream;
+    const auto& second = aSecond->mUpstream;
+    return std::tie(first.mId, first.mStartedAtMs) < std::tie(second.mId, second.mStartedAtMs);
+  });
+  return aUpstreams;
+}
+
+/// \return the upstream from this instance's part of the availability zone, or nullptr if none has
+/// a slot that is free of own flows.
+const Directory::MergedUpstream*
+ChooseLocalFromPart(const ChoiceInput& aInput,
+                    const Candidates& aCandidates,
+                    double aPeerFlowsPerSlot,
+                    Base::RandomSource& aRandom)
+{
+  if (!HasPart(aInput.mPosition) || aCandidates.mLocal.size() < 2) {
+    return nullptr;
+  }
+  const auto upstreams = OrderedById(aCandidates.mLocal);
+  std::vector<PartCandidate> candidates;
+  candidates.reserve(upstreams.size());
+  for (const Directory::MergedUpstream* upstream : upstreams) {
+    const Load load = LoadOf(aInput.mLoads, upstream->mTag);
+    PartCandidate candidate;
+    candidate.mSlots = upstream->mUpstream.mSlots;
+    const bool cold = aInput.mNow < upstream->mUpstream.mColdUntil;
+    candidate.mWeight = candidate.mSlots / (cold ? kColdStartFactor : 1);
+    candidate.mOwnFlows = load.mOwnFlows;
+    candidate.mCost = Cost(aInput, *upstream, aPeerFlowsPerSlot);
+    candidate.mLastChosenAt = load.mLastChosenAt;
+    candidates.push_back(candidate);
+  }
+  const std::optional<size_t> chosen = ChooseFromPart(candidates, aInput.mPosition, aRandom);
+  return chosen.has_value() ? upstreams[*chosen] : nullptr;
+}
+
+void
+ChooseLocal(const ChoiceInput& aInput,
+            const Candidates& aCandidates,
+            Base::RandomSource& aRandom,
+            const Directory::MergedUpstream*& aBest,
+            double& aBestCost)
+{
+  const double peerFlows = ExpectedPeerFlowsPerSlot(aInput, aCandidates.mLocalLoad);
+  aBest = ChooseLocalFromPart(aInput, aCandidates, peerFlows, aRandom);
+  if (aBest != nullptr) {
+    aBestCost = Cost(aInput, *aBest, peerFlows);
+    return;
+  }
+  const int samples = HasPart(aInput.mPosition) ? kSamplesBesidePart : kLocalSamples;
+  SampleCandidates(aInput, aCandidates.mLocal, samples, peerFlows, aRandom, aBest, aBestCost);
+}
+
 /// Chooses among responsive upstreams, as far as they have room.
 Choice
 ChooseWithRoom(const ChoiceInput& aInput,
@@ -167,11 +252,11 @@
   Choice choice;
   double cost = 0;
   if (HasLocalRoom(aInput, aCandidates.mLocalLoad)) {
-    SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
+    ChooseLocal(aInput, aCandidates, aRandom, choice.mUpstream, cost);
   }
   if (HasRemoteRoom(aInput, aCandidates)) {
     const int samples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
-    SampleCandidates(aInput, aCandidates.mRemote, samples, aRandom, choice.mUpstream, cost);
+    SampleCandidates(aInput, aCandidates.mRemote, samples, 0, aRandom, choice.mUpstream, cost);
   }
   choice.mSaturated = choice.mUpstream == nullptr;
   choice.mOwnFlows = aCandidates.mLocalLoad.mOwnFlows;
@@ -188,9 +273,9 @@
 {
   Choice choice;
   double cost = 0;
-  SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, aRandom, choice.mUpstream, cost);
+  SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, 0, aRandom, choice.mUpstream, cost);
   const int remoteSamples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
-  SampleCandidates(aInput, aCandidates.mRemote, remoteSamples, aRandom, choice.mUpstream, cost);
+  SampleCandidates(aInput, aCandidates.mRemote, remoteSamples, 0, aRandom, choice.mUpstream, cost);
   return choice;
 }
 
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "directory/mergeddirectory.h"
+#include "steering/evenload.h"
 #include "steering/loadtable.h"
 
 #include <string>
@@ -24,6 +25,11 @@
   size_t mInstances = 1;
   /// True if the flow can't meet its latency objective any more. It leaves room for others.
   bool mIsLate = false;
+  /// This instance among the live ones of the availability zone. If it has a part of the upstreams,
+  /// they are tried first.
+  ZonePosition mPosition;
+  /// Expected share of the flows reported by peers that are still in progress.
+  double mReportWeight = 1;
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
@@ -50,6 +56,9 @@
 /// Upstreams whose lease has expired or that do not answer are used only if there are no others.
 /// Draining upstreams are never used.
 ///
+/// With several instances in the availability zone, each first uses its own part of the upstreams,
+/// whose load it knows best, and samples only if the part has no slot that is free of own flows.
+///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
 /// this limit, a herd of callers fills the upstreams' queues, and all requests become late.
--- /dev/null
+++ b/src/libs/steering/evenload.cpp
@@ -0,0 +1,117 @@
+#include "steering/evenload.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace Steering {
+
+namespace {
+
+/// With fewer instances, the part would be the whole zone.
+constexpr size_t kMinInstances = 3;
+/// Points of the part that are compared. At least 3, because the choice among fewer is worse if the
+/// part is only one or two upstreams wide. The upper limit bounds the cost of a choice.
+constexpr size_t kMinPoints = 3;
+constexpr size_t kMaxPoints = 16;
+
+/// \return true if the first candidate is preferred. Among equal ones, that is the one that was
+/// chosen less recently, so that no upstream of the part stays idle for long.
+bool
+IsPreferred(const PartCandidate& aFirst, const PartCandidate& aSecond)
+{
+  return aFirst.mCost == aSecond.mCost ? aFirst.mLastChosenAt < aSecond.mLastChosenAt
+                                       : aFirst.mCost < aSecond.mCost;
+}
+
+/// \return the sums of the weights up to and including each candidate.
+std::vector<double>
+CumulativeWeights(const std::vector<PartCandidate>& aCandidates)
+{
+  std::vector<double> sums;
+  sums.reserve(aCandidates.size());
+  double sum = 0;
+  for (const PartCandidate& candidate : aCandidates) {
+    sum += candidate.mWeight;
+    sums.push_back(sum);
+  }
+  return sums;
+}
+
+/// \return the candidate at a point of the total capacity, which is closed to a ring.
+size_t
+CandidateAt(const std::vector<double>& aSums, double aPoint)
+{
+  const double total = aSums.back();
+  const double point = aPoint - std::floor(aPoint / total) * total;
+  const auto found = std::upper_bound(aSums.begin(), aSums.end(), point);
+  return found == aSums.end() ? 0 : static_cast<size_t>(found - aSums.begin());
+}
+
+} // namespace
+
+ZonePosition
+PositionOf(const PeerReports& aReports, uint32_t aInstance)
+{
+  const auto& reports = aReports.mByInstance;
+  if (aInstance == 0) {
+    return {};
+  }
+  ZonePosition position;
+  const auto self = reports.lower_bound(aInstance);
+  position.mRank = static_cast<size_t>(std::distance(reports.begin(), self));
+  const bool hasOwnReport = self != reports.end() && self->first == aInstance;
+  position.mInstances = reports.size() + (hasOwnReport ? 0 : 1);
+  return position;
+}
+
+bool
+HasPart(const ZonePosition& aPosition)
+{
+  return aPosition.mInstances >= kMinInstances;
+}
+
+double
+ReportWeight(Base::Duration aInterval, Base::Duration aMeanDuration)
+{
+  if (aMeanDuration <= Base::Duration::zero()) {
+    return 1;
+  }
+  // The latest report of a peer is half an interval old in the mean.
+  const std::chrono::duration<double> age = aInterval / 2;
+  return std::exp(-age / std::chrono::duration<double>(aMeanDuration));
+}
+
+std::optional<size_t>
+ChooseFromPart(const std::vector<PartCandidate>& aCandidates,
+               const ZonePosition& aPosition,
+               Base::RandomSource& aRandom,
+               double aShares)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  const std::vector<double> sums = CumulativeWeights(aCandidates);
+  const double share = sums.back() / static_cast<double>(aPosition.mInstances);
+  const double width = aShares * share;
+  const double begin = (static_cast<double>(aPosition.mRank) + 0.5) * share - width / 2;
+  const double upstreams = width * static_cast<double>(aCandidates.size()) / sums.back();
+  const auto points = std::clamp(static_cast<size_t>(std::ceil(upstreams)), kMinPoints, kMaxPoints);
+  // Points at equal distances with a random offset take each upstream in proportion to its share of
+  // the part. A random first one avoids a preference among equal upstreams.
+  const double offset = Base::NextUnit(aRandom);
+  const size_t first = Base::NextBelow(aRandom, points);
+  std::optional<size_t> best;
+  for (size_t i = 0; i < points; ++i) {
+    const double step = static_cast<double>((first + i) % points) + offset;
+    const size_t index = CandidateAt(sums, begin + width * step / static_cast<double>(points));
+    const PartCandidate& candidate = aCandidates[index];
+    const bool isFree = candidate.mOwnFlows < candidate.mSlots;
+    if (isFree && (!best.has_value() || IsPreferred(candidate, aCandidates[*best]))) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+} // namespace Steering
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -22,6 +22,8 @@
   uint32_t mSuspensions = 0;
   Base::TimePoint mSuspendedUntil;
   Base::TimePoint mLastAnswerAt;
+  /// When this instance last assigned a flow to the upstream.
+  Base::TimePoint mLastChosenAt;
 };
 
 /// Loads of the upstreams that were used or reported in the last minute. Owned by one entry
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -55,6 +55,9 @@
           Base::TimePoint aNow)
 {
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
+  const Base::Duration interval = ReportInterval(aState.mInstances);
+  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
   const ChoiceInput input{ aState.mDirectory,
                            aState.mLoads,
                            aFlow.mService,
@@ -63,7 +66,9 @@
                            aSettings.mLease,
                            aNow,
                            aState.mInstances,
-                           aIsLate };
+                           aIsLate,
+                           position,
+                           HasPart(position) ? ReportWeight(interval, mean) : 1 };
   return ChooseUpstream(input, aState.mRandom);
 }
 
@@ -102,6 +107,7 @@
   const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   AddToLoad(aState.mLoads, aFlow);
+  aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
   Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
   decision.mCandidates = aChoice.mCandidates;
   decision.mOutstanding = aChoice.mOutstanding;
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -133,6 +133,8 @@
   std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
   /// Entry instances of the availability zone, including this one.
   size_t mInstances = 1;
+  /// Id of this instance in its load reports, or 0 if it sends none.
+  uint32_t mInstance = 0;
   Base::RandomSource mRandom;
   /// When a control instance that is connected to the leader of the log last replied.
   Base::TimePoint mConnectedAt;
--- a/src/tools/measure/choicemeasure.cpp
+++ b/src/tools/measure/choicemeasure.cpp
@@ -1,5 +1,6 @@
 #include "measure/choicemeasure.h"
 
+#include "measure/evenloadmeasure.h"
 #include "steering/choice.h"
 #include "steering/loadreports.h"
 
@@ -26,6 +27,9 @@
 constexpr size_t kSlots = 3;
 constexpr size_t kQueueCapacity = 12;
 constexpr milliseconds kLatencyObjective{ 200 };
+/// Time after which a flow for which there was no room is placed again.
+constexpr milliseconds kHoldTime{ 10 };
+const std::string kService = "desk";
 constexpr seconds kRunDuration{ 60 };
 constexpr microseconds kDelayWithinZone{ 200 };
 constexpr microseconds kDelayBetweenZones{ 1400 };
@@ -126,7 +130,7 @@
         message->set_id(id);
         message->set_address(static_cast<uint32_t>(id));
         message->set_port(1);
-        message->set_service("desk");
+        message->set_service(kService);
         message->set_availability_zone(ZoneName(zone));
         message->set_slots(kSlots);
         message->set_state(lw::fleet::READY);
@@ -184,11 +188,17 @@
   {
     Flow& flow = mFlows[aFlow];
     Entry& view = LoadViewOf(flow);
-    const Steering::ChoiceInput input{ mDirectory, view.mLoads,      "desk", ZoneName(view.mZone),
-                                       {},         kRunDuration * 2, mNow };
+    const std::string zone = ZoneName(view.mZone);
+    const Steering::ChoiceInput input{
+      mDirectory, view.mLoads, kService, zone, {}, kRunDuration * 2, mNow, 1, false, {}, 1
+    };
     const auto start = std::chrono::steady_clock::now();
     const Steering::Choice choice = Steering::ChooseUpstream(input, mChoiceRandom);
     mProcessorTime += std::chrono::steady_clock::now() - start;
+    if (choice.mUpstream == nullptr) {
+      Schedule(mNow + kHoldTime, [this, aFlow] { PlaceFlow(aFlow); });
+      return;
+    }
     flow.mUpstream = mIndexOf.at(choice.mUpstream->mTag.mValue);
     ++view.mLoads.mByTag[choice.mUpstream->mTag].mOwnFlows;
     Base::Duration delay = NetworkDelay(view.mZone, mUpstreams[flow.mUpstream].mZone);
@@ -356,6 +366,7 @@
     }
     report.mSections.push_back(std::move(section));
   }
+  MeasureEvenLoad(aSeed, report);
   return report;
 }
 
