Use the part only if reports are old compared with requests

Until the mean duration of a request is known, reports count in full, so the choice is the sampled one.

--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -205,7 +205,7 @@
                     double aPeerFlowsPerSlot,
                     Base::RandomSource& aRandom)
 {
-  if (!HasPart(aInput.mPosition) || aCandidates.mLocal.size() < 2) {
+  if (!HasPart(aInput.mPosition, aInput.mReportWeight) || aCandidates.mLocal.size() < 2) {
     return nullptr;
   }
   const auto upstreams = OrderedById(aCandidates.mLocal);
@@ -239,7 +239,8 @@
     aBestCost = Cost(aInput, *aBest, peerFlows);
     return;
   }
-  const int samples = HasPart(aInput.mPosition) ? kSamplesBesidePart : kLocalSamples;
+  const int samples =
+    HasPart(aInput.mPosition, aInput.mReportWeight) ? kSamplesBesidePart : kLocalSamples;
   SampleCandidates(aInput, aCandidates.mLocal, samples, peerFlows, aRandom, aBest, aBestCost);
 }
 
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -56,7 +56,8 @@
 /// Upstreams whose lease has expired or that do not answer are used only if there are no others.
 /// Draining upstreams are never used.
 ///
-/// With several instances in the availability zone, each first uses its own part of the upstreams,
+/// With several instances in the availability zone and reports that are old compared with the
+/// requests, each instance first uses its own part of the upstreams,
 /// whose load it knows best, and samples only if the part has no slot that is free of own flows.
 ///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
--- a/src/libs/steering/evenload.cpp
+++ b/src/libs/steering/evenload.cpp
@@ -10,6 +10,9 @@
 
 /// With fewer instances, the part would be the whole zone.
 constexpr size_t kMinInstances = 3;
+/// If more than half of the reported flows are still in progress, the best of three samples of all
+/// upstreams is at least as good as the part, which many instances share in a large zone.
+constexpr double kMaxReportWeight = 0.5;
 /// Points of the part that are compared. At least 3, because the choice among fewer is worse if the
 /// part is only one or two upstreams wide. The upper limit bounds the cost of a choice.
 constexpr size_t kMinPoints = 3;
@@ -66,9 +69,9 @@
 }
 
 bool
-HasPart(const ZonePosition& aPosition)
+HasPart(const ZonePosition& aPosition, double aReportWeight)
 {
-  return aPosition.mInstances >= kMinInstances;
+  return aPosition.mInstances >= kMinInstances && aReportWeight < kMaxReportWeight;
 }
 
 double
--- a/src/libs/steering/evenload.h
+++ b/src/libs/steering/evenload.h
@@ -41,10 +41,11 @@
 ZonePosition
 PositionOf(const PeerReports& aReports, uint32_t aInstance);
 
-/// \return true if an instance at this position has a part of the zone's upstreams that is smaller
-/// than the whole zone.
+/// \return true if the instance should use its own part of the zone's upstreams first: the part is
+/// smaller than the whole zone, and reports say less than the instance's own flows.
+/// \param aReportWeight is the result of ReportWeight.
 bool
-HasPart(const ZonePosition& aPosition);
+HasPart(const ZonePosition& aPosition, double aReportWeight);
 
 /// \return the expected share of the flows in a report that are still in progress.
 /// \param aInterval is the time between two reports of a peer.
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -68,7 +68,7 @@
                            aState.mInstances,
                            aIsLate,
                            position,
-                           HasPart(position) ? ReportWeight(interval, mean) : 1 };
+                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
   return ChooseUpstream(input, aState.mRandom);
 }
 
--- a/src/tools/measure/evenloadmeasure.cpp
+++ b/src/tools/measure/evenloadmeasure.cpp
@@ -308,7 +308,7 @@
       load.mOwnFlows = mOwn[aInstance][i];
       load.mPeerFlows = ReportedByPeers(aInstance, i);
     }
-    const double weight = Steering::HasPart(aPosition) ? mReportWeight : 1;
+    const double weight = aPosition.mInstances > 1 ? mReportWeight : 1;
     const Steering::ChoiceInput input{ mDirectory, mLoads[aInstance],   kService, kZone,
                                        {},         mCase.mDuration * 2, mNow,     mCase.mInstances,
                                        false,      aPosition,           weight };
--- a/tests/auto/steering/tst_evenload.cpp
+++ b/tests/auto/steering/tst_evenload.cpp
@@ -61,6 +61,7 @@
   {
     mState.mInstance = aInstance;
     mState.mInstances = aInstances;
+    mState.mRequests["desk"].mMeanDuration = milliseconds(30);
     for (uint32_t id = 1; id <= aInstances; ++id) {
       lw::fleet::LoadReport report;
       report.set_instance(id);
@@ -186,7 +187,21 @@
     AddUpstream(id, "a");
   }
   JoinZone(1, 2);
-  CHECK_FALSE(Steering::HasPart(Steering::PositionOf(mState.mReports, mState.mInstance)));
+  CHECK_FALSE(Steering::HasPart(Steering::PositionOf(mState.mReports, mState.mInstance), 0));
+  LONGS_EQUAL(6, Open(1, 60).size());
+}
+
+// Guards against a part that is used although the reports describe the present load of all
+// upstreams: 30 s requests are in progress long after their report.
+TEST(EvenLoad, RecentReportsAreUsedForTheWholeZone)
+{
+  mSlots = 20;
+  Declare(1);
+  for (uint64_t id = 1; id <= 6; ++id) {
+    AddUpstream(id, "a");
+  }
+  JoinZone(1, 6);
+  mState.mRequests["desk"].mMeanDuration = seconds(30);
   LONGS_EQUAL(6, Open(1, 60).size());
 }
 
