Choose upstreams of a part in proportion to their capacity in it

Among equal upstreams of a part, the least recently chosen one was taken, also if only a small share of it is in the part.

The test PartsDivideTheCapacityEvenly did not record the time of its choices, so that it tested the first sample only. Two tests that record it replace it: equal upstreams within a tenth for 18 pairs of upstreams and instances (4 before), and the total of larger upstreams within a tenth of their slots.

--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -222,7 +222,8 @@
     candidate.mLastChosenAt = load.mLastChosenAt;
     candidates.push_back(candidate);
   }
-  const std::optional<size_t> chosen = ChooseFromPart(candidates, aInput.mPosition, aRandom);
+  const std::optional<size_t> chosen =
+    ChooseFromPart(candidates, aInput.mPosition, aInput.mNow, aRandom);
   return chosen.has_value() ? upstreams[*chosen] : nullptr;
 }
 
--- a/src/libs/steering/evenload.cpp
+++ b/src/libs/steering/evenload.cpp
@@ -18,12 +18,21 @@
 constexpr size_t kMinPoints = 3;
 constexpr size_t kMaxPoints = 16;
 
-/// \return true if the first candidate is preferred. Among equal ones, that is the one that was
-/// chosen less recently, so that no upstream of the part stays idle for long.
+/// A candidate at a point of the part.
+struct PartSample
+{
+  size_t mIndex = 0;
+  double mCost = 0;
+  /// Time since the last choice of the candidate, times its capacity in the part.
+  double mIdleCapacity = 0;
+};
+
+/// \return true if the first sample is preferred. Among equal ones, that is the one that was chosen
+/// less recently, so that no upstream of the part stays idle for long.
 bool
-IsPreferred(const PartCandidate& aFirst, const PartCandidate& aSecond)
+IsPreferred(const PartSample& aFirst, const PartSample& aSecond)
 {
-  return aFirst.mCost == aSecond.mCost ? aFirst.mLastChosenAt < aSecond.mLastChosenAt
+  return aFirst.mCost == aSecond.mCost ? aFirst.mIdleCapacity > aSecond.mIdleCapacity
                                        : aFirst.mCost < aSecond.mCost;
 }
 
@@ -51,6 +60,23 @@
   return found == aSums.end() ? 0 : static_cast<size_t>(found - aSums.begin());
 }
 
+/// \return the capacity of a candidate that is in a part of the ring. Without it, upstreams with
+/// few slots or a small share in the part would be chosen as often as the others there.
+double
+CapacityInPart(const std::vector<double>& aSums, size_t aIndex, double aBegin, double aWidth)
+{
+  const double total = aSums.back();
+  const double first = aIndex == 0 ? 0 : aSums[aIndex - 1];
+  const double last = aSums[aIndex];
+  double overlap = 0;
+  for (const double turn : { -total, 0.0, total }) {
+    const double begin = std::max(first + turn, aBegin);
+    const double end = std::min(last + turn, aBegin + aWidth);
+    overlap += std::max(end - begin, 0.0);
+  }
+  return overlap;
+}
+
 } // namespace
 
 ZonePosition
@@ -88,6 +114,7 @@
 std::optional<size_t>
 ChooseFromPart(const std::vector<PartCandidate>& aCandidates,
                const ZonePosition& aPosition,
+               Base::TimePoint aNow,
                Base::RandomSource& aRandom,
                double aShares)
 {
@@ -104,17 +131,23 @@
   // the part. A random first one avoids a preference among equal upstreams.
   const double offset = Base::NextUnit(aRandom);
   const size_t first = Base::NextBelow(aRandom, points);
-  std::optional<size_t> best;
+  std::optional<PartSample> best;
   for (size_t i = 0; i < points; ++i) {
     const double step = static_cast<double>((first + i) % points) + offset;
     const size_t index = CandidateAt(sums, begin + width * step / static_cast<double>(points));
     const PartCandidate& candidate = aCandidates[index];
-    const bool isFree = candidate.mOwnFlows < candidate.mSlots;
-    if (isFree && (!best.has_value() || IsPreferred(candidate, aCandidates[*best]))) {
-      best = index;
+    if (candidate.mOwnFlows >= candidate.mSlots) {
+      continue;
+    }
+    const std::chrono::duration<double> idle = aNow - candidate.mLastChosenAt;
+    const PartSample sample{ index,
+                             candidate.mCost,
+                             idle.count() * CapacityInPart(sums, index, begin, width) };
+    if (!best.has_value() || IsPreferred(sample, *best)) {
+      best = sample;
     }
   }
-  return best;
+  return best.has_value() ? std::optional(best->mIndex) : std::nullopt;
 }
 
 } // namespace Steering
--- a/src/libs/steering/evenload.h
+++ b/src/libs/steering/evenload.h
@@ -65,6 +65,7 @@
 std::optional<size_t>
 ChooseFromPart(const std::vector<PartCandidate>& aCandidates,
                const ZonePosition& aPosition,
+               Base::TimePoint aNow,
                Base::RandomSource& aRandom,
                double aShares = kPartShares);
 
--- a/src/tools/measure/evenloadmeasure.cpp
+++ b/src/tools/measure/evenloadmeasure.cpp
@@ -289,8 +289,8 @@
       candidates[i].mCost = Cost(aInstance, i, mReportWeight);
       candidates[i].mLastChosenAt = LoadAt(aInstance, i).mLastChosenAt;
     }
-    const std::optional<size_t> chosen =
-      Steering::ChooseFromPart(candidates, { aInstance, mCase.mInstances }, mChoiceRandom, aShares);
+    const std::optional<size_t> chosen = Steering::ChooseFromPart(
+      candidates, { aInstance, mCase.mInstances }, mNow, mChoiceRandom, aShares);
     return chosen.has_value() ? static_cast<uint32_t>(*chosen)
                               : BestOfSamples(aInstance, mReportWeight);
   }
--- a/tests/auto/steering/tst_evenload.cpp
+++ b/tests/auto/steering/tst_evenload.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 #include <map>
+#include <vector>
 
 using Measure::EvenMethod;
 using std::chrono::milliseconds;
@@ -82,6 +83,33 @@
     return opened;
   }
 
+  /// \return the number of choices of each candidate for each unit of weight, over the mean.
+  std::vector<double> ChoicesPerWeight(std::vector<Steering::PartCandidate> aCandidates,
+                                       size_t aInstances)
+  {
+    // Enough that the random deviation of one of 40 shares is about 2%.
+    constexpr size_t kChoices = 100000;
+    double weights = 0;
+    for (const Steering::PartCandidate& candidate : aCandidates) {
+      weights += candidate.mWeight;
+    }
+    Base::RandomSource random{ 1 };
+    std::vector<double> shares(aCandidates.size());
+    for (size_t rank = 0; rank < aInstances; ++rank) {
+      for (Steering::PartCandidate& candidate : aCandidates) {
+        candidate.mLastChosenAt = mNow;
+      }
+      for (size_t i = 0; i < kChoices / aInstances; ++i) {
+        mNow += milliseconds(1);
+        const size_t index =
+          *Steering::ChooseFromPart(aCandidates, { rank, aInstances }, mNow, random);
+        aCandidates[index].mLastChosenAt = mNow;
+        shares[index] += weights / aCandidates[index].mWeight / kChoices;
+      }
+    }
+    return shares;
+  }
+
   uint64_t mSequence = 0;
 };
 
@@ -97,31 +125,34 @@
   CHECK_COMPARE(now.mBusiest, <=, 1 + kTolerance);
 }
 
-// Guards against upstreams that get more than their share because the parts of the instances
-// overlap unevenly, for every number of instances, and with slots of different size.
-TEST(EvenLoad, PartsDivideTheCapacityEvenly)
+// Guards against equal upstreams that get more than their share because the parts of the instances
+// overlap unevenly, for any number of instances and upstreams.
+TEST(EvenLoad, PartsDivideEqualUpstreamsEvenly)
 {
-  // Enough that the random deviation of an upstream's share is 2%.
-  constexpr size_t kChoices = 60000;
-  Base::RandomSource random{ 1 };
-  for (const size_t instances : { 3U, 7U, 42U, 126U }) {
-    std::vector<Steering::PartCandidate> candidates(13);
-    double slots = 0;
-    for (size_t i = 0; i < candidates.size(); ++i) {
-      candidates[i].mSlots = i % 2 == 0 ? 2 : 4;
-      candidates[i].mWeight = candidates[i].mSlots;
-      slots += candidates[i].mWeight;
-    }
-    std::vector<double> chosen(candidates.size());
-    for (size_t rank = 0; rank < instances; ++rank) {
-      for (size_t i = 0; i < kChoices / instances; ++i) {
-        const auto index = Steering::ChooseFromPart(candidates, { rank, instances }, random);
-        chosen[*index] += slots / candidates[*index].mWeight / kChoices;
+  for (const size_t upstreams : { 10U, 13U, 40U }) {
+    for (const size_t instances : { 3U, 7U, 10U, 27U, 42U, 126U }) {
+      const std::vector<Steering::PartCandidate> candidates(upstreams);
+      for (const double share : ChoicesPerWeight(candidates, instances)) {
+        CHECK_COMPARE(std::abs(share - 1), <=, kTolerance);
       }
     }
-    for (const double share : chosen) {
-      CHECK_COMPARE(std::abs(share - 1), <=, kTolerance);
+  }
+}
+
+// Guards against upstreams of more slots that get no more flows than others.
+TEST(EvenLoad, PartsFollowTheNumberOfSlots)
+{
+  for (const size_t instances : { 3U, 7U, 10U, 27U, 42U, 126U }) {
+    std::vector<Steering::PartCandidate> candidates(40);
+    for (size_t i = 0; i < candidates.size(); i += 2) {
+      candidates[i].mWeight = 2;
+    }
+    const std::vector<double> shares = ChoicesPerWeight(candidates, instances);
+    double larger = 0;
+    for (size_t i = 0; i < shares.size(); i += 2) {
+      larger += shares[i] / (static_cast<double>(shares.size()) / 2);
     }
+    CHECK_COMPARE(std::abs(larger - 1), <=, kTolerance);
   }
 }
 
@@ -135,7 +166,8 @@
   for (size_t rank = 0; rank < kInstances; ++rank) {
     const double middle = (static_cast<double>(rank) + 0.5) * share;
     for (const size_t joined : { rank, rank + 1 }) {
-      const auto index = Steering::ChooseFromPart(candidates, { joined, kInstances + 1 }, random);
+      const auto index =
+        Steering::ChooseFromPart(candidates, { joined, kInstances + 1 }, mNow, random);
       const double distance = std::abs(static_cast<double>(*index) + 0.5 - middle);
       // Half of the part, one share, one upstream, and the ring that joins the ends.
       const double limit = Steering::kPartShares / 2 * share + share + 1;
