--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -4,6 +4,7 @@
 #include "directory/mergeddirectory.h"
 #include "steering/coldstart.h"
 #include "steering/evacuations.h"
+#include "steering/evenload.h"
 #include "steering/loadtable.h"
 
 #include <string>
@@ -29,6 +30,11 @@
   bool mIsLate = false;
   /// nullptr if no service has a rate limit for cold upstreams.
   const ColdStarts* mColdStarts = nullptr;
+  /// This instance among the live ones of the availability zone. If it has a part of the upstreams,
+  /// they are tried first.
+  ZonePosition mPosition;
+  /// Expected share of the flows reported by peers that are still in progress.
+  double mReportWeight = 1;
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
@@ -63,6 +69,10 @@
 /// upstreams with a rate limit are used only if this instance may send to them now; if there are no
 /// others, the service is saturated.
 ///
+/// With several instances in the availability zone and reports that are old compared with the
+/// requests, each instance first uses its own part of the upstreams,
+/// whose load it knows best, and samples only if the part has no slot that is free of own flows.
+///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
 /// this limit, a herd of callers fills the upstreams' queues, and all requests become late. If
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -99,6 +99,9 @@
           Base::TimePoint aNow)
 {
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
+  const Base::Duration interval = ReportInterval(aState.mInstances);
+  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
   const ChoiceInput input{ aState.mDirectory,
                            aState.mLoads,
                            aState.mEvacuations,
@@ -109,7 +112,9 @@
                            aNow,
                            aState.mInstances,
                            aIsLate,
-                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts };
+                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
+                           position,
+                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
   Choice choice = ChooseUpstream(input, aState.mRandom);
   choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
   return choice;
@@ -153,6 +158,7 @@
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   AddToLoad(aState.mLoads, aFlow);
   RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
+  aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
   Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
   decision.mCandidates = aChoice.mCandidates;
   decision.mColdLimited = aChoice.mColdLimited;
