Let the holder of a new upstream send at once in a steady zone

A holder waited for 3 s after it first knew a cold upstream, in case another instance had been the holder before. An upstream that has just started had no previous holder, and is often cold for less than that, so it got no flows while it was cold.

The wait now counts from the last change of the inputs that decide who is the holder: the live peers, what they hear, and the list of the control instances. With the same inputs for that time, the instance would have been the holder all along.

--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -74,6 +74,32 @@
   return std::find(aInstances.begin(), aInstances.end(), aInstance) != aInstances.end();
 }
 
+/// Updates the time since which all that decides who is a holder has been the same. An instance
+/// that becomes the holder of an upstream which it did not know before would have been its holder
+/// for all that time, so an upstream that has just started gets flows while it is cold.
+void
+UpdateStability(ColdStarts& aColdStarts,
+                const HolderView& aView,
+                bool aInterrupted,
+                Base::TimePoint aNow)
+{
+  const auto& before = aColdStarts.mStablePeers;
+  const auto& now = aView.mLivePeers;
+  const bool samePeers =
+    std::equal(before.begin(),
+               before.end(),
+               now.begin(),
+               now.end(),
+               [](const LivePeer& aLeft, const LivePeer& aRight) {
+                 return aLeft.mInstance == aRight.mInstance && aLeft.mUnheard == aRight.mUnheard;
+               });
+  if (aInterrupted || !samePeers || aColdStarts.mStableList != aColdStarts.mListed) {
+    aColdStarts.mStablePeers = now;
+    aColdStarts.mStableList = aColdStarts.mListed;
+    aColdStarts.mStableSince = aNow;
+  }
+}
+
 } // namespace
 
 void
@@ -146,6 +172,7 @@
   if (aColdStarts.mRates.empty()) {
     return;
   }
+  UpdateStability(aColdStarts, aView, interrupted, aNow);
   std::unordered_map<Directory::RouteTag, HeldUpstream> held;
   for (const auto& [tag, upstream] : aDirectory.mByTag) {
     const Directory::Upstream& described = upstream.mUpstream;
@@ -161,7 +188,7 @@
     if (known != aColdStarts.mHeld.end()) {
       entry = std::move(known->second);
     } else {
-      entry.mSince = aNow;
+      entry.mSince = aColdStarts.mStableSince;
     }
     entry.mSendsFrom = entry.mSince + HandoverWait(aView, LimitFor(*rate));
   }
--- a/src/libs/steering/coldstart.h
+++ b/src/libs/steering/coldstart.h
@@ -40,6 +40,10 @@
   /// Bounded by the cold upstreams of the availability zone.
   std::unordered_map<Directory::RouteTag, HeldUpstream> mHeld;
   Base::TimePoint mUpdatedAt;
+  /// The live peers and the list at the last update, and since when they have been the same.
+  std::vector<LivePeer> mStablePeers;
+  std::vector<uint32_t> mStableList;
+  Base::TimePoint mStableSince;
 };
 
 /// What an instance knows about the entry instances of its availability zone.
--- a/tests/auto/steering/tst_coldstart.cpp
+++ b/tests/auto/steering/tst_coldstart.cpp
@@ -101,6 +101,32 @@
 
 TEST_GROUP(ColdStart), ColdStartFixture{};
 
+// Guards against an upstream that starts in a steady zone and gets no flows until it is not cold
+// any more, because its holder waits for a previous one that did not exist.
+TEST(ColdStart, NewUpstreamIsUsedAtOnceInASteadyZone)
+{
+  DeclareRate(1, 5);
+  Pass(kHandover);
+  AddCold(1, "a");
+  Pass(milliseconds(100));
+  CHECK_TRUE(Send(1, PacketKind::Opening).mAction == Action::Forward);
+}
+
+// Guards against a holder of a new upstream that sends at once although another instance may have
+// been the holder a moment ago.
+TEST(ColdStart, NewUpstreamWaitsIfAnInstanceWasJustLost)
+{
+  DeclareRate(1, 5);
+  mState.mColdStarts.mListed = { 1 };
+  Report(2);
+  Pass(kHandover);
+  Report(2);
+  Pass(milliseconds(1500));
+  AddCold(1, "a");
+  Pass(milliseconds(100));
+  CHECK_TRUE(Send(1, PacketKind::Opening).mAction == Action::Hold);
+}
+
 // Guards against two instances that send to a cold upstream at the same time: when an instance
 // joins, dies, is cut off or returns, and while load reports are lost. Guards as well against rate
 // limits that are not used because no instance considers itself the holder.
