--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -15,7 +15,7 @@
 
 /// The rate limit applies to each sliding window of this length.
 constexpr seconds kWindow{ 1 };
-/// Window of very low rate limits. No upstream is cold for longer (kMaxColdRemainingMs).
+/// Window of very low rate limits. No upstream announces a longer cold time.
 constexpr seconds kMaxWindow{ 600 };
 /// Time in which the previous holder learns of a new one, in addition to the lifetime of a load
 /// report. Covers several lost reports and the time between two updates.
