Split the assignment and release of opening packets and the event lines off

The choice and assignment of an upstream, the release of held opening packets, and the lines of the event log are files of their own now. Nothing else changes; tst_steering (129 tests) and tst_fleet (15) pass.

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -1,6 +1,7 @@
 #include "fleet/entrynode.h"
 
 #include "absl/strings/str_cat.h"
+#include "fleet/entryevents.h"
 
 #include <boost/asio/post.hpp>
 
@@ -27,12 +28,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
 }
 
-std::string
-FlowName(const Steering::FlowKey& aFlow)
-{
-  return absl::StrCat(Base::ToString(aFlow.mCaller), ">", Base::ToString(aFlow.mService));
-}
-
 } // namespace
 
 EntryNode::EntryNode(asio::io_context& aContext,
@@ -228,31 +223,7 @@
                        const Steering::Decision& aDecision)
 {
   const Base::TimePoint now = Base::RuntimeClock::now();
-  EventLog::Line line(Steering::ToString(aDecision.mReason));
-  line.Add("flow", FlowName(aFlow))
-    .Add("action", Steering::ToString(aDecision.mAction))
-    .Add("config_version", static_cast<int64_t>(mState.mRoutes.mVersion));
-  if (mState.mConnectedAt != Base::TimePoint()) {
-    line.Add("control_age_ms", Milliseconds(now - mState.mConnectedAt));
-  }
-  if (aDecision.mAction == Steering::Action::Forward) {
-    line.Add("upstream", absl::StrCat(absl::Hex(aDecision.mUpstream.mValue)))
-      .Add("address", Base::ToString(aDecision.mAddress))
-      .Add("candidates", static_cast<int64_t>(aDecision.mCandidates))
-      .Add("outstanding", aDecision.mOutstanding)
-      .Add("announced_age_ms", Milliseconds(aDecision.mDirectoryAge));
-  } else if (aDecision.mOwnLimit > 0) {
-    line.Add("candidates", static_cast<int64_t>(aDecision.mCandidates))
-      .Add("own_flows", aDecision.mOwnFlows)
-      .Add("peer_flows", aDecision.mPeerFlows)
-      .Add("own_limit", aDecision.mOwnLimit);
-  } else {
-    line.Add("tag", aTag.mValue);
-  }
-  if (aDecision.mColdLimited > 0) {
-    line.Add("cold_limited", static_cast<int64_t>(aDecision.mColdLimited));
-  }
-  mEvents.Add(line, now);
+  mEvents.Add(DecisionLine(mState, aFlow, aTag, aDecision, now), now);
 }
 
 void
@@ -282,21 +253,10 @@
     PublishEvacuations(evacuations, control);
   }
   for (const lw::fleet::Upstream& upstream : aEvent.mReply->upstreams()) {
-    mEvents.Add(EventLog::Line("upstream")
-                  .Add("upstream", absl::StrCat(absl::Hex(upstream.id())))
-                  .Add("started_at_ms", static_cast<int64_t>(upstream.started_at_ms()))
-                  .Add("state", lw::fleet::UpstreamState_Name(upstream.state()))
-                  .Add("silent", upstream.silent() ? 1 : 0)
-                  .Add("age_ms", upstream.age_ms())
-                  .Add("control", control),
-                now);
+    mEvents.Add(UpstreamLine(upstream, control), now);
   }
   for (const lw::fleet::Presence& presence : aEvent.mReply->presences()) {
-    mEvents.Add(EventLog::Line(presence.silent() ? "upstream_silent" : "upstream_heard")
-                  .Add("tag", presence.tag())
-                  .Add("age_ms", presence.age_ms())
-                  .Add("control", control),
-                now);
+    mEvents.Add(PresenceLine(presence, control), now);
   }
   if (aEvent.mReply->peers_size() > 0) {
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
--- /dev/null
+++ b/src/libs/steering/assignment.cpp
@@ -0,0 +1,101 @@
+#include "steering/assignment.h"
+
+#include "steering/openings.h"
+
+#include <algorithm>
+
+namespace Steering::Internal {
+
+namespace {
+
+/// \return true if the service has upstreams in this instance's availability zone, and the zone is
+/// evacuated.
+bool
+IsDiverted(const State& aState, const Settings& aSettings, const std::string& aService)
+{
+  const std::string& zone = aSettings.mAvailabilityZone;
+  const auto& upstreams = aState.mDirectory.mByTag;
+  return IsEvacuated(aState.mEvacuations, zone) &&
+         std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
+           const Directory::Upstream& upstream = aItem.second.mUpstream;
+           return upstream.mState == Directory::State::Ready && upstream.mService == aService &&
+                  upstream.mAvailabilityZone == zone;
+         });
+}
+
+} // namespace
+
+Choice
+ChooseFor(State& aState,
+          const Settings& aSettings,
+          const Flow& aFlow,
+          bool aIsLate,
+          Base::TimePoint aNow)
+{
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
+  const Base::Duration interval = ReportInterval(aState.mInstances);
+  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
+  const ChoiceInput input{ aState.mDirectory,
+                           aState.mLoads,
+                           aState.mEvacuations,
+                           aFlow.mService,
+                           aSettings.mAvailabilityZone,
+                           aFlow.mTriedUpstreams,
+                           aSettings.mLease,
+                           aNow,
+                           aState.mInstances,
+                           aIsLate,
+                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
+                           position,
+                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
+  Choice choice = ChooseUpstream(input, aState.mRandom);
+  choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
+  return choice;
+}
+
+Action
+ActionForUnserved(const Flow& aFlow)
+{
+  return aFlow.mTriedUpstreams.empty() ? Action::Reset : Action::Drop;
+}
+
+Decision
+Assign(State& aState,
+       const Settings& aSettings,
+       Flow& aFlow,
+       const Choice& aChoice,
+       Reason aReason,
+       Base::TimePoint aNow)
+{
+  if (aChoice.mUpstream == nullptr) {
+    // Before the directory is complete, an unknown upstream may be able to serve the flow.
+    const bool complete = IsDirectoryComplete(aState, aSettings, aNow);
+    Decision refusal =
+      Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
+    refusal.mIsDiverted = aChoice.mIsDiverted;
+    return refusal;
+  }
+  RemoveFromLoad(aState.mLoads, aFlow);
+  aFlow.mHeld = false;
+  aFlow.mTag = aChoice.mUpstream->mTag;
+  if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
+      aFlow.mTriedUpstreams.end()) {
+    aFlow.mTriedUpstreams.push_back(aFlow.mTag);
+  }
+  aFlow.mForwardedAt = aNow;
+  aFlow.mUnansweredRecorded = false;
+  const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
+  aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
+  AddToLoad(aState.mLoads, aFlow);
+  RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
+  aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
+  Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
+  decision.mCandidates = aChoice.mCandidates;
+  decision.mColdLimited = aChoice.mColdLimited;
+  decision.mOutstanding = aChoice.mOutstanding;
+  decision.mIsDiverted = aChoice.mIsDiverted;
+  return decision;
+}
+
+} // namespace Steering::Internal
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -1,5 +1,7 @@
 #include "steering/openings.h"
 
+#include "steering/assignment.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -76,97 +78,6 @@
 
 namespace {
 
-/// \return true if the service has upstreams in this instance's availability zone, and the zone is
-/// evacuated.
-bool
-IsDiverted(const State& aState, const Settings& aSettings, const std::string& aService)
-{
-  const std::string& zone = aSettings.mAvailabilityZone;
-  const auto& upstreams = aState.mDirectory.mByTag;
-  return IsEvacuated(aState.mEvacuations, zone) &&
-         std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
-           const Directory::Upstream& upstream = aItem.second.mUpstream;
-           return upstream.mState == Directory::State::Ready && upstream.mService == aService &&
-                  upstream.mAvailabilityZone == zone;
-         });
-}
-
-Choice
-ChooseFor(State& aState,
-          const Settings& aSettings,
-          const Flow& aFlow,
-          bool aIsLate,
-          Base::TimePoint aNow)
-{
-  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
-  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
-  const Base::Duration interval = ReportInterval(aState.mInstances);
-  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
-  const ChoiceInput input{ aState.mDirectory,
-                           aState.mLoads,
-                           aState.mEvacuations,
-                           aFlow.mService,
-                           aSettings.mAvailabilityZone,
-                           aFlow.mTriedUpstreams,
-                           aSettings.mLease,
-                           aNow,
-                           aState.mInstances,
-                           aIsLate,
-                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
-                           position,
-                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
-  Choice choice = ChooseUpstream(input, aState.mRandom);
-  choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
-  return choice;
-}
-
-/// \return the action for a flow that can't be served. A flow that was forwarded before may just
-/// have been opened, so only the others are reset.
-Action
-ActionForUnserved(const Flow& aFlow)
-{
-  return aFlow.mTriedUpstreams.empty() ? Action::Reset : Action::Drop;
-}
-
-/// Assigns the flow to the chosen upstream, if there is one.
-Decision
-Assign(State& aState,
-       const Settings& aSettings,
-       Flow& aFlow,
-       const Choice& aChoice,
-       Reason aReason,
-       Base::TimePoint aNow)
-{
-  if (aChoice.mUpstream == nullptr) {
-    // Before the directory is complete, an unknown upstream may be able to serve the flow.
-    const bool complete = IsDirectoryComplete(aState, aSettings, aNow);
-    Decision refusal =
-      Refuse(complete ? ActionForUnserved(aFlow) : Action::Drop, Reason::NoUpstream);
-    refusal.mIsDiverted = aChoice.mIsDiverted;
-    return refusal;
-  }
-  RemoveFromLoad(aState.mLoads, aFlow);
-  aFlow.mHeld = false;
-  aFlow.mTag = aChoice.mUpstream->mTag;
-  if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
-      aFlow.mTriedUpstreams.end()) {
-    aFlow.mTriedUpstreams.push_back(aFlow.mTag);
-  }
-  aFlow.mForwardedAt = aNow;
-  aFlow.mUnansweredRecorded = false;
-  const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
-  aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
-  AddToLoad(aState.mLoads, aFlow);
-  RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
-  aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
-  Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
-  decision.mCandidates = aChoice.mCandidates;
-  decision.mColdLimited = aChoice.mColdLimited;
-  decision.mOutstanding = aChoice.mOutstanding;
-  decision.mIsDiverted = aChoice.mIsDiverted;
-  return decision;
-}
-
 HeldOpening
 MakeHeldOpening(const State& aState,
                 const Settings& aSettings,
@@ -290,63 +201,6 @@
   return AssignOrHold(aState, aSettings, aFlow, aPacket, Reason::RepeatedOpening, aNow);
 }
 
-/// \return the decision for a flow that was held, or std::nullopt if there is still no room for it.
-std::optional<Decision>
-ReleaseFlow(State& aState,
-            const Settings& aSettings,
-            Flow& aFlow,
-            bool aIsLate,
-            Base::TimePoint aNow)
-{
-  const Choice choice = ChooseFor(aState, aSettings, aFlow, aIsLate, aNow);
-  if (choice.mSaturated) {
-    return std::nullopt;
-  }
-  return Assign(aState, aSettings, aFlow, choice, Reason::Released, aNow);
-}
-
-/// Forgets the flows whose callers have ended their attempt.
-void
-RemoveExpiredOpenings(State& aState,
-                      const Settings& aSettings,
-                      OpeningQueue& aQueue,
-                      Base::TimePoint aNow)
-{
-  for (const FlowKey& expired : RemoveExpired(aQueue, aSettings.mOpeningLifetime, aNow)) {
-    const auto flow = aState.mFlows.mFlows.find(expired);
-    if (flow != aState.mFlows.mFlows.end() && flow->second.mHeld) {
-      aState.mFlows.mFlows.erase(flow);
-    }
-  }
-}
-
-/// Forwards the packets of one service while upstreams have room.
-void
-ReleaseFrom(State& aState,
-            const Settings& aSettings,
-            OpeningQueue& aQueue,
-            Base::TimePoint aNow,
-            std::vector<ReleasedPacket>& aReleased)
-{
-  RemoveExpiredOpenings(aState, aSettings, aQueue, aNow);
-  while (const HeldOpening* next = Next(aQueue, aNow)) {
-    const auto flow = aState.mFlows.mFlows.find(next->mFlow);
-    // The flow may have been opened or replaced by a new one since it was held.
-    if (flow != aState.mFlows.mFlows.end() && flow->second.mHeld) {
-      const std::optional<Decision> decision =
-        ReleaseFlow(aState, aSettings, flow->second, aNow > next->mUsefulUntil, aNow);
-      if (!decision.has_value()) {
-        return;
-      }
-      if (decision->mAction != Action::Forward) {
-        aState.mFlows.mFlows.erase(flow);
-      }
-      aReleased.push_back({ next->mFlow, next->mDatagram, *decision });
-    }
-    RemoveNext(aQueue);
-  }
-}
-
 } // namespace
 
 Decision
@@ -392,22 +246,4 @@
 
 } // namespace Internal
 
-bool
-HasHeldOpenings(const State& aState)
-{
-  return std::any_of(aState.mOpeningsByService.begin(),
-                     aState.mOpeningsByService.end(),
-                     [](const auto& aItem) { return Size(aItem.second) > 0; });
-}
-
-std::vector<ReleasedPacket>
-ReleaseOpenings(State& aState, const Settings& aSettings, Base::TimePoint aNow)
-{
-  std::vector<ReleasedPacket> released;
-  for (auto& [service, queue] : aState.mOpeningsByService) {
-    Internal::ReleaseFrom(aState, aSettings, queue, aNow, released);
-  }
-  return released;
-}
-
 } // namespace Steering
