--- a/src/libs/directory/mergeddirectory.h
+++ b/src/libs/directory/mergeddirectory.h
@@ -29,7 +29,7 @@
   /// Epoch of its current run. Reports from before a restart no longer renew upstreams.
   uint64_t mEpoch = 0;
   Base::TimePoint mRepliedAt;
-  /// True if its latest reply says that it is connected to the log.
+  /// True if its latest reply says that it is connected to the leader of the log.
   bool mConnected = false;
   /// True if its latest reply completes the transfer of its directory.
   bool mComplete = false;
--- a/src/libs/fleet/entryevents.cpp
+++ b/src/libs/fleet/entryevents.cpp
@@ -47,7 +47,7 @@
       .Add("own_flows", aDecision.mOwnFlows)
       .Add("peer_flows", aDecision.mPeerFlows)
       .Add("own_limit", aDecision.mOwnLimit);
-  } else {
+  } else if (aDecision.mColdLimited == 0) {
     line.Add("tag", aTag.mValue);
   }
   if (aDecision.mColdLimited > 0) {
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -116,12 +116,12 @@
   } else if (decision.mAction == Steering::Action::Hold) {
     WaitForRelease();
   }
-  NoteForward(decision);
+  LogFirstForward(decision);
   return decision;
 }
 
 void
-EntryNode::NoteForward(const Steering::Decision& aDecision)
+EntryNode::LogFirstForward(const Steering::Decision& aDecision)
 {
   if (aDecision.mAction != Steering::Action::Forward || std::exchange(mHasForwarded, true)) {
     return;
@@ -202,7 +202,7 @@
        Steering::ExpireEarlyPackets(mState, Base::RuntimeClock::now())) {
     // The reason was counted when the packet was held.
     mEarlyExpiredCounter.Add();
-    LogDecision(expired.mFlow, Directory::RouteTag(), expired.mDecision);
+    LogDecision(expired.mFlow, expired.mTag, expired.mDecision);
   }
 }
 
@@ -211,9 +211,9 @@
 {
   CountDecision(aReleased.mDecision);
   if (aReleased.mDecision.mReason != Steering::Reason::Tagged) {
-    LogDecision(aReleased.mFlow, Directory::RouteTag(), aReleased.mDecision);
+    LogDecision(aReleased.mFlow, aReleased.mTag, aReleased.mDecision);
   }
-  NoteForward(aReleased.mDecision);
+  LogFirstForward(aReleased.mDecision);
   mReleaseHandler(aReleased);
 }
 
@@ -260,13 +260,17 @@
   }
   if (aEvent.mReply->peers_size() > 0) {
     mPeers.assign(aEvent.mReply->peers().begin(), aEvent.mReply->peers().end());
+    mPeersHash = aEvent.mReply->peers_hash();
     mState.mInstances = mPeers.size();
   }
-  if (aEvent.mReply->connected()) {
+  // Without a list, the reply confirms the one with its hash. Another control instance may have
+  // sent a different list since the poll.
+  if (aEvent.mReply->connected() && aEvent.mReply->peers_hash() == mPeersHash) {
     mState.mColdStarts.mListed = mPeers;
   }
   mUpstreamsGauge.Set(static_cast<int64_t>(mState.mDirectory.mByTag.size()));
-  if (routesChanged || aEvent.mReply->upstreams_size() > 0) {
+  const bool evacuationsChanged = mState.mEvacuations.mRevision != evacuations.mRevision;
+  if (routesChanged || evacuationsChanged || aEvent.mReply->upstreams_size() > 0) {
     ReleaseEarlyPackets();
   }
 }
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -69,7 +69,7 @@
   void ExpireEarlyPackets();
   /// Counts, logs and executes the decision on a packet that was held.
   void HandleReleased(const Steering::ReleasedPacket& aReleased);
-  void NoteForward(const Steering::Decision& aDecision);
+  void LogFirstForward(const Steering::Decision& aDecision);
   void CountDecision(const Steering::Decision& aDecision);
   void LogDecision(const Steering::FlowKey& aFlow,
                    Directory::RouteTag aTag,
@@ -98,10 +98,11 @@
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mReleaseTimer;
   std::function<void(const Steering::ReleasedPacket&)> mReleaseHandler;
   bool mReleaseScheduled = false;
-  /// The process constructs its node right after it has read its settings.
+  /// Shortly before the event "started". The time in first_forward counts from here.
   const Base::TimePoint mStartedAt = Base::RuntimeClock::now();
   bool mHasForwarded = false;
   std::vector<uint32_t> mPeers;
+  uint64_t mPeersHash = 0;
   uint64_t mIncarnation = 0;
   uint64_t mReportSequence = 0;
 };
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -145,19 +145,19 @@
   place.mPeerFlows += load.mPeerFlows;
 }
 
+/// Products of slots exceed 32 bits if upstreams announce very many.
 uint32_t
-DivideRoundingUp(uint32_t aDividend, uint32_t aDivisor)
+DivideRoundingUp(uint64_t aDividend, uint64_t aDivisor)
 {
-  return (aDividend + aDivisor - 1) / aDivisor;
+  return static_cast<uint32_t>((aDividend + aDivisor - 1) / aDivisor);
 }
 
 /// \return the flows that this instance may have in a place whatever its peers have there.
 uint32_t
 OwnLimit(const ChoiceInput& aInput, const PlaceLoad& aPlace)
 {
-  const auto instances = static_cast<uint32_t>(aInput.mInstances);
-  const uint32_t flowsPerSlot = aInput.mIsLate ? kLateFlowsPerSharedSlot : kFlowsPerSharedSlot;
-  return DivideRoundingUp(flowsPerSlot * aPlace.mSlots, instances);
+  const uint64_t flowsPerSlot = aInput.mIsLate ? kLateFlowsPerSharedSlot : kFlowsPerSharedSlot;
+  return DivideRoundingUp(flowsPerSlot * aPlace.mSlots, aInput.mInstances);
 }
 
 bool
@@ -180,7 +180,7 @@
     }
   }
   PlaceLoad part = aRemote;
-  part.mSlots = DivideRoundingUp(aRemote.mSlots, static_cast<uint32_t>(zones.size()));
+  part.mSlots = DivideRoundingUp(aRemote.mSlots, zones.size());
   return part;
 }
 
@@ -189,13 +189,12 @@
 bool
 HasRemoteRoom(const ChoiceInput& aInput, const Candidates& aCandidates)
 {
-  const uint32_t local = aCandidates.mLocalLoad.mSlots;
-  const uint32_t remote = aCandidates.mRemoteLoad.mSlots;
+  const uint64_t local = aCandidates.mLocalLoad.mSlots;
+  const uint64_t remote = aCandidates.mRemoteLoad.mSlots;
   if (remote == 0) {
     return false;
   }
-  const auto instances = static_cast<uint32_t>(aInput.mInstances);
-  const uint32_t share = DivideRoundingUp(remote * local, (remote + local) * instances);
+  const uint32_t share = DivideRoundingUp(remote * local, (remote + local) * aInput.mInstances);
   return aCandidates.mRemoteLoad.mOwnFlows < share;
 }
 
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -24,7 +24,8 @@
   const std::vector<Directory::RouteTag>& mExcluded;
   Base::Duration mLease;
   Base::TimePoint mNow;
-  /// Entry instances of the availability zone, including this one. They share its upstreams.
+  /// Entry instances of the availability zone as listed by the control instances, including this
+  /// one, for the limits on flows. mPosition counts those with a current report.
   size_t mInstances = 1;
   /// True if the flow can't meet its latency objective any more. It leaves room for others.
   bool mIsLate = false;
--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -74,9 +74,9 @@
   return std::find(aInstances.begin(), aInstances.end(), aInstance) != aInstances.end();
 }
 
-/// Updates the time since which all that decides who is a holder has been the same. An instance
-/// that becomes the holder of an upstream which it did not know before would have been its holder
-/// for all that time, so an upstream that has just started gets flows while it is cold.
+/// Updates the time since which the inputs of IsHolder and HasMajority have been the same. During
+/// that time no other instance can have been the holder of an upstream that this instance holds, so
+/// an upstream that has just started gets flows without a wait.
 void
 UpdateStability(ColdStarts& aColdStarts,
                 const HolderView& aView,
@@ -170,6 +170,8 @@
     aColdStarts.mHeld.clear();
   }
   if (aColdStarts.mRates.empty()) {
+    // Nothing is known about the time without rates.
+    aColdStarts.mStableList.clear();
     return;
   }
   UpdateStability(aColdStarts, aView, interrupted, aNow);
--- a/src/libs/steering/earlypackets.cpp
+++ b/src/libs/steering/earlypackets.cpp
@@ -93,9 +93,12 @@
   const size_t bytes = aPackets.mBytes - replacedBytes + aPacket.mDatagram.size();
   const bool full =
     bytes > kMaxEarlyBytes || (!replaces && aPackets.mPackets.size() >= kMaxEarlyPackets);
-  if (full || packet.mExpiresAt <= aNow) {
+  if (packet.mExpiresAt <= aNow) {
     return false;
   }
+  if (full) {
+    return replaces; // The copy that is held stays.
+  }
   packet.mDatagram = std::string(aPacket.mDatagram);
   if (replaces) {
     Remove(aPackets, held);
--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -13,9 +13,8 @@
 /// Flows that carry one request are closed before this, or their callers have given up. They need
 /// no pin at the peers.
 constexpr std::chrono::milliseconds kReportDelay{ 3000 };
-/// Delay while few pins wait for a report. If this instance is lost before a pin is reported, the
-/// flow follows its tag, which may be the wrong one. Under load, the bandwidth has to be left to
-/// the flows that stay open.
+/// Delay with at most kMaxEarlyPins pending, so that few flows lose their pin with the instance.
+/// With more pending, pins of flows that close soon would take the bandwidth.
 constexpr std::chrono::milliseconds kEarlyReportDelay{ 250 };
 constexpr size_t kMaxEarlyPins = 8;
 /// Size of a pin in a report.
@@ -96,7 +95,7 @@
 }
 
 void
-AddRequests(FlowPins& aPins, lw::fleet::LoadReport& aReport)
+AddPinRequests(FlowPins& aPins, lw::fleet::LoadReport& aReport)
 {
   for (auto request = aPins.mRequests.begin(); request != aPins.mRequests.end();) {
     aReport.add_pins_requested_from(request->first);
@@ -147,10 +146,10 @@
                Base::Duration aInterval,
                Base::TimePoint aNow)
 {
-  AddRequests(aPins, aReport);
+  AddPinRequests(aPins, aReport);
   const int maxPins = PinsPerReport(aPeers, aInterval);
   size_t left = aPins.mPending.size();
-  const Base::TimePoint dueBy =
+  const Base::TimePoint reportThrough =
     left <= kMaxEarlyPins ? aNow + kReportDelay - kEarlyReportDelay : aNow;
   while (left > 0 && aReport.pins_size() < maxPins) {
     --left;
@@ -163,7 +162,7 @@
     FlowPin& pin = found->second;
     if (pin.mClosing) {
       pin.mReportsLeft = 0;
-    } else if (dueBy >= pending.mDueAt) {
+    } else if (reportThrough >= pending.mDueAt) {
       AddToReport(pending.mFlow, pin, aReport);
       --pin.mReportsLeft;
     }
@@ -191,13 +190,13 @@
 }
 
 void
-RequestPins(FlowPins& aPins, uint32_t aPeer)
+RequestPinsFrom(FlowPins& aPins, uint32_t aPeer)
 {
   aPins.mRequests[aPeer] = kReportsPerPin;
 }
 
 bool
-RequestsPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport)
+IsAskedForPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport)
 {
   const auto& requested = aReport.pins_requested_from();
   return std::find(requested.begin(), requested.end(), aPins.mSelf) != requested.end();
--- a/src/libs/steering/flowpins.h
+++ b/src/libs/steering/flowpins.h
@@ -97,11 +97,11 @@
 /// Asks a peer to repeat its pins, because this instance missed several of its reports. The peer
 /// can't tell: reports may be lost in one direction only.
 void
-RequestPins(FlowPins& aPins, uint32_t aPeer);
+RequestPinsFrom(FlowPins& aPins, uint32_t aPeer);
 
 /// \return true if the report asks this instance to repeat its pins.
 bool
-RequestsPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport);
+IsAskedForPins(const FlowPins& aPins, const lw::fleet::LoadReport& aReport);
 
 /// Schedules the pins that a peer needs from this instance if it may have missed some: those made
 /// here, those that the peer itself made before it restarted, and those of instances that no longer
--- a/src/libs/steering/openingrelease.cpp
+++ b/src/libs/steering/openingrelease.cpp
@@ -61,7 +61,7 @@
       if (decision->mAction != Action::Forward) {
         aState.mFlows.mFlows.erase(flow);
       }
-      aReleased.push_back({ next->mFlow, next->mDatagram, *decision });
+      aReleased.push_back({ next->mFlow, next->mDatagram, *decision, {} });
     }
     RemoveNext(aQueue);
   }
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -78,6 +78,9 @@
 
 namespace {
 
+/// Longer than any caller waits. A low rate limit would give a wait that no duration can hold.
+constexpr double kMaxExpectedWaitSeconds = 600;
+
 HeldOpening
 MakeHeldOpening(const State& aState,
                 const Settings& aSettings,
@@ -128,7 +131,11 @@
     return MeanDuration(aState.mRequests, aFlow.mService) * aFlowsAhead / aChoice.mZoneLimit;
   }
   const double rate = HeldRate(aState.mColdStarts, aState.mDirectory, aFlow.mService, aNow);
-  const std::chrono::duration<double> wait(rate > 0 ? static_cast<double>(aFlowsAhead) / rate : 0);
+  if (rate <= 0) {
+    return Base::Duration::zero();
+  }
+  const std::chrono::duration<double> wait(
+    std::min(static_cast<double>(aFlowsAhead) / rate, kMaxExpectedWaitSeconds));
   return std::chrono::duration_cast<Base::Duration>(wait);
 }
 
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -272,7 +272,7 @@
                         ? aState.mRoutes.mVersion == 0 || undecided.count(packet.mFlow.mService) > 0
                         : Directory::Find(aState.mDirectory, CurrentTag(aState, packet)) == nullptr;
     if (!skip && item->second.mExpiresAt > aNow) {
-      ReleasedPacket next{ packet.mFlow, item->second.mDatagram, {} };
+      ReleasedPacket next{ packet.mFlow, item->second.mDatagram, {}, packet.mTag };
       packet.mDatagram = next.mDatagram;
       next.mDecision = Steer(aState, aSettings, packet, aNow);
       if (IsHeldEarly(next.mDecision)) {
@@ -291,8 +291,10 @@
 {
   std::vector<ReleasedPacket> expired;
   for (EarlyPacket& packet : RemoveExpiredEarly(aState.mEarlyPackets, aNow)) {
-    expired.push_back(
-      { packet.mKey.mFlow, std::move(packet.mDatagram), Refuse(Action::Drop, packet.mReason) });
+    expired.push_back({ packet.mKey.mFlow,
+                        std::move(packet.mDatagram),
+                        Refuse(Action::Drop, packet.mReason),
+                        packet.mTag });
   }
   return expired;
 }
@@ -339,10 +341,10 @@
   const uint64_t missed = ApplyLoadReport(aState.mReports, aState.mLoads, aReport, aNow);
   const bool missedPins = missed >= kReportsPerPin;
   if (missedPins) {
-    RequestPins(aState.mPins, aReport.instance());
+    RequestPinsFrom(aState.mPins, aReport.instance());
   }
   // A peer that has just started or was out of reach may lack pins as well.
-  if (missedPins || RequestsPins(aState.mPins, aReport)) {
+  if (missedPins || IsAskedForPins(aState.mPins, aReport)) {
     SchedulePinsFor(aState.mPins, aReport.instance(), aState.mReports, aNow);
   }
 }
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -162,6 +162,8 @@
   FlowKey mFlow;
   std::string mDatagram;
   Decision mDecision;
+  /// Tag in the packet, or 0 for an opening packet.
+  Directory::RouteTag mTag;
 };
 
 /// Decides whether to forward, reset, drop or hold a packet, and updates the state of its flow.
--- a/src/tools/entry/configfollower.cpp
+++ b/src/tools/entry/configfollower.cpp
@@ -151,8 +151,8 @@
   auto evacuations = std::make_shared<Steering::Evacuations>(*mEvacuations.Load());
   if (Steering::Update(*evacuations, mFollower.mState.evacuations(), Base::RuntimeClock::now())) {
     LOG(INFO) << "[config] Evacuated availability zones: "
-              << absl::StrJoin(evacuations->mZones, ", ") << " (revision " << evacuations->mRevision
-              << ").";
+              << (evacuations->mZones.empty() ? "none" : absl::StrJoin(evacuations->mZones, ", "))
+              << " (revision " << evacuations->mRevision << ").";
     mEvacuatedGauge.Set(static_cast<int64_t>(evacuations->mZones.size()));
     mEvacuations.Publish(std::move(evacuations));
   }
--- a/src/tools/entry/membershipagent.h
+++ b/src/tools/entry/membershipagent.h
@@ -77,7 +77,8 @@
   Membership::Counts mReportedCounts;
   Base::ConfigVersion mAppliedVersion;
   uint64_t mPublishedRevision = 0;
-  /// Revision of the snapshot of the evacuations, which is not that of the list.
+  /// Number of the last published snapshot of the evacuations (Base::Snapshot), not the revision of
+  /// the list.
   uint64_t mPublishedEvacuations = 0;
   Base::TimePoint mPublishedAt;
   Base::Snapshot<Membership::View> mView;
--- a/tests/auto/steering/tst_earlypackets.cpp
+++ b/tests/auto/steering/tst_earlypackets.cpp
@@ -230,6 +230,9 @@
     ++sequence;
   }
   LONGS_EQUAL(Steering::kMaxEarlyBytes / large.size(), sequence);
+  // A larger retransmission does not fit, and the copy that is held stays.
+  CHECK_TRUE(SendTagged(1, 0, std::string(2100, 'x')).mAction == Action::Hold);
+  LONGS_EQUAL(sequence, Held());
 }
 
 // Guards against invalid tags that cost memory and copies in normal operation.
