Split evenloadmeasure.cpp by subject

evenloadsimulation has the cases, the figures and the simulated zone, evenloadchooser the choices of the instances and the flow counts behind them, and evenloadmeasure the compared cases and their tables. tst_evenload includes the simulation's header.

--- a/tests/auto/steering/tst_evenload.cpp
+++ b/tests/auto/steering/tst_evenload.cpp
@@ -1,5 +1,5 @@
 #include "fixture.h"
-#include "measure/evenloadmeasure.h"
+#include "measure/evenloadsimulation.h"
 
 #include <CppUTest/TestHarness.h>
 
