--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -23,9 +23,10 @@
 /// Upstreams sampled from the local availability zone and from the remote ones.
 constexpr int kLocalSamples = 3;
 constexpr int kRemoteSamples = 1;
-/// Local samples if no upstream of the instance's part has a free slot. Fewer, because reports are
-/// old then compared with the requests, and the best of many samples is one that others choose too.
-constexpr int kSamplesBesidePart = 2;
+/// Local samples if no upstream of the instance's subset has a free slot. Fewer, because reports
+/// are old then compared with the requests, and the best of many samples is one that others choose
+/// too.
+constexpr int kSamplesOutsideSubset = 2;
 /// Added to the cost of an upstream in a remote availability zone, in flows per slot. With a lower
 /// penalty, flows cross availability zones while local slots are free, and fail if the link between
 /// the zones fails.
@@ -167,11 +168,11 @@
          aPlace.mOwnFlows < OwnLimit(aInput, aPlace);
 }
 
-/// \return the part of the service's remote slots that this availability zone uses if none of its
+/// \return the share of the service's remote slots that this availability zone uses if none of its
 /// own upstreams takes new flows. Each zone that has upstreams of the service, and this one, is
 /// expected to have the same demand, also while it is evacuated.
 PlaceLoad
-PartOfRemote(const ChoiceInput& aInput, const PlaceLoad& aRemote)
+ShareOfRemoteSlots(const ChoiceInput& aInput, const PlaceLoad& aRemote)
 {
   std::set<std::string> zones{ aInput.mAvailabilityZone };
   for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
@@ -179,9 +180,9 @@
       zones.insert(upstream.mUpstream.mAvailabilityZone);
     }
   }
-  PlaceLoad part = aRemote;
-  part.mSlots = DivideRoundingUp(aRemote.mSlots, zones.size());
-  return part;
+  PlaceLoad share = aRemote;
+  share.mSlots = DivideRoundingUp(aRemote.mSlots, zones.size());
+  return share;
 }
 
 /// The load that other availability zones put on remote upstreams is not known here, so an instance
@@ -223,23 +224,23 @@
   return aUpstreams;
 }
 
-/// \return the upstream from this instance's part of the availability zone, or nullptr if none has
-/// a slot that is free of own flows.
+/// \return the upstream from this instance's subset of the availability zone, or nullptr if none
+/// has a slot that is free of own flows.
 const Directory::MergedUpstream*
-ChooseLocalFromPart(const ChoiceInput& aInput,
-                    const Candidates& aCandidates,
-                    double aPeerFlowsPerSlot,
-                    Base::RandomSource& aRandom)
+ChooseLocalFromSubset(const ChoiceInput& aInput,
+                      const Candidates& aCandidates,
+                      double aPeerFlowsPerSlot,
+                      Base::RandomSource& aRandom)
 {
-  if (!HasPart(aInput.mPosition, aInput.mReportWeight) || aCandidates.mLocal.size() < 2) {
+  if (!HasSubset(aInput.mPosition, aInput.mReportWeight) || aCandidates.mLocal.size() < 2) {
     return nullptr;
   }
   const auto upstreams = OrderedById(aCandidates.mLocal);
-  std::vector<PartCandidate> candidates;
+  std::vector<SubsetCandidate> candidates;
   candidates.reserve(upstreams.size());
   for (const Directory::MergedUpstream* upstream : upstreams) {
     const Load load = LoadOf(aInput.mLoads, upstream->mTag);
-    PartCandidate candidate;
+    SubsetCandidate candidate;
     candidate.mSlots = upstream->mUpstream.mSlots;
     const bool cold = aInput.mNow < upstream->mUpstream.mColdUntil;
     candidate.mWeight = candidate.mSlots / (cold ? kColdStartFactor : 1);
@@ -249,7 +250,7 @@
     candidates.push_back(candidate);
   }
   const std::optional<size_t> chosen =
-    ChooseFromPart(candidates, aInput.mPosition, aInput.mNow, aRandom);
+    ChooseFromSubset(candidates, aInput.mPosition, aInput.mNow, aRandom);
   return chosen.has_value() ? upstreams[*chosen] : nullptr;
 }
 
@@ -261,13 +262,13 @@
             double& aBestCost)
 {
   const double peerFlows = ExpectedPeerFlowsPerSlot(aInput, aCandidates.mLocalLoad);
-  aBest = ChooseLocalFromPart(aInput, aCandidates, peerFlows, aRandom);
+  aBest = ChooseLocalFromSubset(aInput, aCandidates, peerFlows, aRandom);
   if (aBest != nullptr) {
     aBestCost = Cost(aInput, *aBest, peerFlows);
     return;
   }
   const int samples =
-    HasPart(aInput.mPosition, aInput.mReportWeight) ? kSamplesBesidePart : kLocalSamples;
+    HasSubset(aInput.mPosition, aInput.mReportWeight) ? kSamplesOutsideSubset : kLocalSamples;
   SampleCandidates(aInput, aCandidates.mLocal, samples, peerFlows, aRandom, aBest, aBestCost);
 }
 
@@ -279,7 +280,7 @@
 {
   const bool onlyRemote = aCandidates.mLocal.empty();
   const PlaceLoad place =
-    onlyRemote ? PartOfRemote(aInput, aCandidates.mRemoteLoad) : aCandidates.mLocalLoad;
+    onlyRemote ? ShareOfRemoteSlots(aInput, aCandidates.mRemoteLoad) : aCandidates.mLocalLoad;
   const bool hasRoom = HasRoom(aInput, place);
   Choice choice;
   double cost = 0;
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -31,8 +31,8 @@
   bool mIsLate = false;
   /// nullptr if no service has a rate limit for cold upstreams.
   const ColdStarts* mColdStarts = nullptr;
-  /// This instance among the live ones of the availability zone. If it has a part of the upstreams,
-  /// they are tried first.
+  /// This instance among the live ones of the availability zone. If it has a subset of the
+  /// upstreams, they are tried first.
   ZonePosition mPosition;
   /// Expected share of the flows reported by peers that are still in progress.
   double mReportWeight = 1;
@@ -71,13 +71,13 @@
 /// others, the service is saturated.
 ///
 /// With several instances in the availability zone and reports that are old compared with the
-/// requests, each instance first uses its own part of the upstreams,
-/// whose load it knows best, and samples only if the part has no slot that is free of own flows.
+/// requests, each instance first uses its own subset of the upstreams, whose load it knows best, and
+/// samples only if the subset has no slot that is free of own flows.
 ///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
 /// this limit, a herd of callers fills the upstreams' queues, and all requests become late. If
-/// there are only remote upstreams, the same limit applies to the zone's part of their slots.
+/// there are only remote upstreams, the same limit applies to the zone's share of their slots.
 Choice
 ChooseUpstream(const ChoiceInput& aInput, Base::RandomSource& aRandom);
 
--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -85,14 +85,14 @@
 {
   const auto& before = aColdStarts.mStablePeers;
   const auto& now = aView.mLivePeers;
-  const bool samePeers =
-    std::equal(before.begin(),
-               before.end(),
-               now.begin(),
-               now.end(),
-               [](const LivePeer& aLeft, const LivePeer& aRight) {
-                 return aLeft.mInstance == aRight.mInstance && aLeft.mUnheard == aRight.mUnheard;
-               });
+  const bool samePeers = std::equal(before.begin(),
+                                    before.end(),
+                                    now.begin(),
+                                    now.end(),
+                                    [](const LivePeer& aLeft, const LivePeer& aRight) {
+                                      return aLeft.mInstance == aRight.mInstance &&
+                                             aLeft.mNotReceivedFrom == aRight.mNotReceivedFrom;
+                                    });
   if (aInterrupted || !samePeers || aColdStarts.mStableList != aColdStarts.mListed) {
     aColdStarts.mStablePeers = now;
     aColdStarts.mStableList = aColdStarts.mListed;
@@ -133,7 +133,7 @@
     [&aView, aTag](uint32_t aInstance) { return IsPreferred(aInstance, aView.mSelf, aTag); });
   const auto supports = [&](const LivePeer& aPeer) {
     const auto hears = [&aPeer](uint32_t aInstance) {
-      return !Contains(aPeer.mUnheard, aInstance);
+      return !Contains(aPeer.mNotReceivedFrom, aInstance);
     };
     return Contains(aListed, aPeer.mInstance) && hears(aView.mSelf) &&
            std::none_of(preferred.begin(), preferred.end(), hears);
@@ -145,7 +145,9 @@
 }
 
 void
-AddUnheard(const ColdStarts& aColdStarts, const HolderView& aView, lw::fleet::LoadReport& aReport)
+AddNotReceivedFrom(const ColdStarts& aColdStarts,
+                   const HolderView& aView,
+                   lw::fleet::LoadReport& aReport)
 {
   for (const uint32_t listed : aColdStarts.mListed) {
     const bool isLive =
@@ -153,7 +155,7 @@
                   aView.mLivePeers.end(),
                   [listed](const LivePeer& aPeer) { return aPeer.mInstance == listed; });
     if (listed != aView.mSelf && !isLive) {
-      aReport.add_unheard(listed);
+      aReport.add_not_received_from(listed);
     }
   }
 }
--- a/src/libs/steering/coldstart.h
+++ b/src/libs/steering/coldstart.h
@@ -79,7 +79,9 @@
 
 /// Adds the listed instances that this instance does not hear to its load report.
 void
-AddUnheard(const ColdStarts& aColdStarts, const HolderView& aView, lw::fleet::LoadReport& aReport);
+AddNotReceivedFrom(const ColdStarts& aColdStarts,
+                   const HolderView& aView,
+                   lw::fleet::LoadReport& aReport);
 
 /// Determines the cold upstreams of which this instance is the holder, and removes the state of the
 /// others. To be called about every 100 ms. A longer interruption than kMaxUpdateAge ends the
--- a/src/libs/steering/evenload.cpp
+++ b/src/libs/steering/evenload.cpp
@@ -8,29 +8,29 @@
 
 namespace {
 
-/// With fewer instances, the part would be the whole zone.
+/// With fewer instances, the subset would be the whole zone.
 constexpr size_t kMinInstances = 3;
 /// If more than half of the reported flows are still in progress, the best of three samples of all
-/// upstreams is at least as good as the part, which many instances share in a large zone.
+/// upstreams is at least as good as the subset, which many instances share in a large zone.
 constexpr double kMaxReportWeight = 0.5;
-/// Points of the part that are compared. At least 3, because the choice among fewer is worse if the
-/// part is only one or two upstreams wide. The upper limit bounds the cost of a choice.
+/// Points of the subset that are compared. At least 3, because the choice among fewer is worse if
+/// the subset is only one or two upstreams wide. The upper limit bounds the cost of a choice.
 constexpr size_t kMinPoints = 3;
 constexpr size_t kMaxPoints = 16;
 
-/// A candidate at a point of the part.
-struct PartSample
+/// A candidate at a point of the subset.
+struct SubsetSample
 {
   size_t mIndex = 0;
   double mCost = 0;
-  /// Time since the last choice of the candidate, times its capacity in the part.
+  /// Time since the last choice of the candidate, times its capacity in the subset.
   double mIdleCapacity = 0;
 };
 
 /// \return true if the first sample is preferred. Among equal ones, that is the one that was chosen
-/// less recently, so that no upstream of the part stays idle for long.
+/// less recently, so that no upstream of the subset stays idle for long.
 bool
-IsPreferred(const PartSample& aFirst, const PartSample& aSecond)
+IsPreferred(const SubsetSample& aFirst, const SubsetSample& aSecond)
 {
   return aFirst.mCost == aSecond.mCost ? aFirst.mIdleCapacity > aSecond.mIdleCapacity
                                        : aFirst.mCost < aSecond.mCost;
@@ -38,12 +38,12 @@
 
 /// \return the sums of the weights up to and including each candidate.
 std::vector<double>
-CumulativeWeights(const std::vector<PartCandidate>& aCandidates)
+CumulativeWeights(const std::vector<SubsetCandidate>& aCandidates)
 {
   std::vector<double> sums;
   sums.reserve(aCandidates.size());
   double sum = 0;
-  for (const PartCandidate& candidate : aCandidates) {
+  for (const SubsetCandidate& candidate : aCandidates) {
     sum += candidate.mWeight;
     sums.push_back(sum);
   }
@@ -60,10 +60,10 @@
   return found == aSums.end() ? 0 : static_cast<size_t>(found - aSums.begin());
 }
 
-/// \return the capacity of a candidate that is in a part of the ring. Without it, upstreams with
-/// few slots or a small share in the part would be chosen as often as the others there.
+/// \return the capacity of a candidate that is in a subset of the ring. Without it, upstreams with
+/// few slots or a small share in the subset would be chosen as often as the others there.
 double
-CapacityInPart(const std::vector<double>& aSums, size_t aIndex, double aBegin, double aWidth)
+CapacityInSubset(const std::vector<double>& aSums, size_t aIndex, double aBegin, double aWidth)
 {
   const double total = aSums.back();
   const double first = aIndex == 0 ? 0 : aSums[aIndex - 1];
@@ -95,7 +95,7 @@
 }
 
 bool
-HasPart(const ZonePosition& aPosition, double aReportWeight)
+HasSubset(const ZonePosition& aPosition, double aReportWeight)
 {
   return aPosition.mInstances >= kMinInstances && aReportWeight < kMaxReportWeight;
 }
@@ -112,11 +112,11 @@
 }
 
 std::optional<size_t>
-ChooseFromPart(const std::vector<PartCandidate>& aCandidates,
-               const ZonePosition& aPosition,
-               Base::TimePoint aNow,
-               Base::RandomSource& aRandom,
-               double aShares)
+ChooseFromSubset(const std::vector<SubsetCandidate>& aCandidates,
+                 const ZonePosition& aPosition,
+                 Base::TimePoint aNow,
+                 Base::RandomSource& aRandom,
+                 double aShares)
 {
   if (aCandidates.empty()) {
     return std::nullopt;
@@ -128,21 +128,21 @@
   const double upstreams = width * static_cast<double>(aCandidates.size()) / sums.back();
   const auto points = std::clamp(static_cast<size_t>(std::ceil(upstreams)), kMinPoints, kMaxPoints);
   // Points at equal distances with a random offset take each upstream in proportion to its share of
-  // the part. A random first one avoids a preference among equal upstreams.
+  // the subset. A random first one avoids a preference among equal upstreams.
   const double offset = Base::NextUnit(aRandom);
   const size_t first = Base::NextBelow(aRandom, points);
-  std::optional<PartSample> best;
+  std::optional<SubsetSample> best;
   for (size_t i = 0; i < points; ++i) {
     const double step = static_cast<double>((first + i) % points) + offset;
     const size_t index = CandidateAt(sums, begin + width * step / static_cast<double>(points));
-    const PartCandidate& candidate = aCandidates[index];
+    const SubsetCandidate& candidate = aCandidates[index];
     if (candidate.mOwnFlows >= candidate.mSlots) {
       continue;
     }
     const std::chrono::duration<double> idle = aNow - candidate.mLastChosenAt;
-    const PartSample sample{ index,
-                             candidate.mCost,
-                             idle.count() * CapacityInPart(sums, index, begin, width) };
+    const SubsetSample sample{ index,
+                               candidate.mCost,
+                               idle.count() * CapacityInSubset(sums, index, begin, width) };
     if (!best.has_value() || IsPreferred(sample, *best)) {
       best = sample;
     }
--- a/src/libs/steering/loadreports.h
+++ b/src/libs/steering/loadreports.h
@@ -39,7 +39,7 @@
 {
   uint32_t mInstance = 0;
   /// Instances whose reports the peer does not receive.
-  std::vector<uint32_t> mUnheard;
+  std::vector<uint32_t> mNotReceivedFrom;
 };
 
 /// \return the peers whose report has not expired. Does not depend on ExpireReports, so that a peer
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -329,7 +329,7 @@
   const size_t peers = aState.mInstances - 1;
   AddPendingPins(aState.mPins, report, peers, ReportInterval(aState.mInstances), aNow);
   if (!aState.mColdStarts.mRates.empty()) {
-    AddUnheard(aState.mColdStarts, ViewOfPeers(aState, std::string(), aNow), report);
+    AddNotReceivedFrom(aState.mColdStarts, ViewOfPeers(aState, std::string(), aNow), report);
   }
   return report;
 }
--- a/src/tools/measure/evenloadchooser.cpp
+++ b/src/tools/measure/evenloadchooser.cpp
@@ -95,9 +95,9 @@
 }
 
 uint32_t
-EvenLoadChooser::ChooseFromPart(uint32_t aInstance, double aShares, Base::TimePoint aNow)
+EvenLoadChooser::ChooseFromSubset(uint32_t aInstance, double aShares, Base::TimePoint aNow)
 {
-  std::vector<Steering::PartCandidate> candidates(mCase.mUpstreams);
+  std::vector<Steering::SubsetCandidate> candidates(mCase.mUpstreams);
   for (uint32_t i = 0; i < mCase.mUpstreams; ++i) {
     candidates[i].mSlots = kEvenLoadSlots;
     candidates[i].mOwnFlows = mOwn[aInstance][i];
@@ -105,7 +105,7 @@
     candidates[i].mLastChosenAt = LoadAt(aInstance, i).mLastChosenAt;
   }
   const std::optional<size_t> chosen =
-    Steering::ChooseFromPart(candidates, { aInstance, mCase.mInstances }, aNow, mRandom, aShares);
+    Steering::ChooseFromSubset(candidates, { aInstance, mCase.mInstances }, aNow, mRandom, aShares);
   return chosen.has_value() ? static_cast<uint32_t>(*chosen)
                             : BestOfSamples(aInstance, mReportWeight);
 }
@@ -153,10 +153,10 @@
         [this, aInstance](uint32_t aUpstream) { return Cost(aInstance, aUpstream, 1); });
     case EvenMethod::Discounted:
       return BestOfSamples(aInstance, mReportWeight);
-    case EvenMethod::NarrowPart:
-      return ChooseFromPart(aInstance, 1, aNow);
-    case EvenMethod::WidePart:
-      return ChooseFromPart(aInstance, 3, aNow);
+    case EvenMethod::NarrowSubset:
+      return ChooseFromSubset(aInstance, 1, aNow);
+    case EvenMethod::WideSubset:
+      return ChooseFromSubset(aInstance, 3, aNow);
     case EvenMethod::Product:
       break;
   }
--- a/src/tools/measure/evenloadchooser.h
+++ b/src/tools/measure/evenloadchooser.h
@@ -35,7 +35,7 @@
   uint32_t BestOfSamples(uint32_t aInstance, double aWeight);
   template<typename CostFunction>
   uint32_t BestOfAll(CostFunction aCost);
-  uint32_t ChooseFromPart(uint32_t aInstance, double aShares, Base::TimePoint aNow);
+  uint32_t ChooseFromSubset(uint32_t aInstance, double aShares, Base::TimePoint aNow);
   Steering::Load& LoadAt(uint32_t aInstance, uint32_t aUpstream);
   uint32_t ChooseByProduct(uint32_t aInstance,
                            const Steering::ZonePosition& aPosition,
--- a/src/tools/measure/evenloadmeasure.cpp
+++ b/src/tools/measure/evenloadmeasure.cpp
@@ -25,8 +25,8 @@
                                     { "sampled", EvenMethod::Sampled },
                                     { "best reported", EvenMethod::BestReported },
                                     { "discounted", EvenMethod::Discounted },
-                                    { "narrow part", EvenMethod::NarrowPart },
-                                    { "wide part", EvenMethod::WidePart },
+                                    { "narrow subset", EvenMethod::NarrowSubset },
+                                    { "wide subset", EvenMethod::WideSubset },
                                     { "product", EvenMethod::Product } };
 
 void
--- a/src/tools/measure/evenloadsimulation.h
+++ b/src/tools/measure/evenloadsimulation.h
@@ -26,10 +26,10 @@
   /// The best of three samples, with reported flows regressing to their mean as reports age, which
   /// accounts for the flows that ended and for those that peers have placed since.
   Discounted,
-  /// An own part of the upstreams first, one or three shares wide, then the discounted choice.
-  NarrowPart,
-  WidePart,
-  /// Steering::ChooseUpstream, with a part two shares wide.
+  /// An own subset of the upstreams first, one or three shares wide, then the discounted choice.
+  NarrowSubset,
+  WideSubset,
+  /// Steering::ChooseUpstream, with a subset two shares wide.
   Product
 };
 
--- a/tests/auto/steering/tst_coldstart.cpp
+++ b/tests/auto/steering/tst_coldstart.cpp
@@ -335,10 +335,10 @@
     if (!Steering::IsHolder(view, tag)) {
       continue;
     }
-    view.mLivePeers[0].mUnheard = { self };
-    view.mLivePeers[1].mUnheard = { self };
+    view.mLivePeers[0].mNotReceivedFrom = { self };
+    view.mLivePeers[1].mNotReceivedFrom = { self };
     CHECK_TRUE(Steering::HasMajority(listed, view, tag));
-    view.mLivePeers[2].mUnheard = { self };
+    view.mLivePeers[2].mNotReceivedFrom = { self };
     CHECK_FALSE(Steering::HasMajority(listed, view, tag));
     view.mLivePeers = { { full.mLivePeers[self % 5].mInstance, {} },
                         { full.mLivePeers[(self + 1) % 5].mInstance, {} } };
--- a/tests/auto/steering/tst_evenload.cpp
+++ b/tests/auto/steering/tst_evenload.cpp
@@ -84,25 +84,25 @@
   }
 
   /// \return the number of choices of each candidate for each unit of weight, over the mean.
-  std::vector<double> ChoicesPerWeight(std::vector<Steering::PartCandidate> aCandidates,
+  std::vector<double> ChoicesPerWeight(std::vector<Steering::SubsetCandidate> aCandidates,
                                        size_t aInstances)
   {
     // Enough that the random deviation of one of 40 shares is about 2%.
     constexpr size_t kChoices = 100000;
     double weights = 0;
-    for (const Steering::PartCandidate& candidate : aCandidates) {
+    for (const Steering::SubsetCandidate& candidate : aCandidates) {
       weights += candidate.mWeight;
     }
     Base::RandomSource random{ 1 };
     std::vector<double> shares(aCandidates.size());
     for (size_t rank = 0; rank < aInstances; ++rank) {
-      for (Steering::PartCandidate& candidate : aCandidates) {
+      for (Steering::SubsetCandidate& candidate : aCandidates) {
         candidate.mLastChosenAt = mNow;
       }
       for (size_t i = 0; i < kChoices / aInstances; ++i) {
         mNow += milliseconds(1);
         const size_t index =
-          *Steering::ChooseFromPart(aCandidates, { rank, aInstances }, mNow, random);
+          *Steering::ChooseFromSubset(aCandidates, { rank, aInstances }, mNow, random);
         aCandidates[index].mLastChosenAt = mNow;
         shares[index] += weights / aCandidates[index].mWeight / kChoices;
       }
@@ -115,7 +115,8 @@
 
 // Guards against flows that wait at one upstream while an equal one is idle for longer than the age
 // of the reports, because many instances choose by the same stale reports. The specification allows
-// no such time. The choice without a part meets that neither, and exceeds the limit here 10 times.
+// no such time. The choice without a subset meets that neither, and exceeds the limit here 10
+// times.
 TEST(EvenLoad, FlowsDoNotWaitBesideUpstreamsThatStayIdle)
 {
   const Violations before = Run(EvenMethod::Sampled);
@@ -125,13 +126,13 @@
   CHECK_COMPARE(now.mBusiest, <=, 1 + kTolerance);
 }
 
-// Guards against equal upstreams that get more than their share because the parts of the instances
-// overlap unevenly, for any number of instances and upstreams.
-TEST(EvenLoad, PartsDivideEqualUpstreamsEvenly)
+// Guards against equal upstreams that get more than their share because the subsets of the
+// instances overlap unevenly, for any number of instances and upstreams.
+TEST(EvenLoad, SubsetsDivideEqualUpstreamsEvenly)
 {
   for (const size_t upstreams : { 10U, 13U, 40U }) {
     for (const size_t instances : { 3U, 7U, 10U, 27U, 42U, 126U }) {
-      const std::vector<Steering::PartCandidate> candidates(upstreams);
+      const std::vector<Steering::SubsetCandidate> candidates(upstreams);
       for (const double share : ChoicesPerWeight(candidates, instances)) {
         CHECK_COMPARE(std::abs(share - 1), <=, kTolerance);
       }
@@ -143,7 +144,7 @@
 TEST(EvenLoad, PartsFollowTheNumberOfSlots)
 {
   for (const size_t instances : { 3U, 7U, 10U, 27U, 42U, 126U }) {
-    std::vector<Steering::PartCandidate> candidates(40);
+    std::vector<Steering::SubsetCandidate> candidates(40);
     for (size_t i = 0; i < candidates.size(); i += 2) {
       candidates[i].mWeight = 2;
     }
@@ -156,28 +157,29 @@
   }
 }
 
-// Guards against a part that moves to other upstreams when an instance joins.
-TEST(EvenLoad, PartIsStableWhenAnInstanceJoins)
+// Guards against a subset that moves to other upstreams when an instance joins.
+TEST(EvenLoad, SubsetIsStableWhenAnInstanceJoins)
 {
   constexpr size_t kInstances = 10;
-  std::vector<Steering::PartCandidate> candidates(40);
+  std::vector<Steering::SubsetCandidate> candidates(40);
   const double share = static_cast<double>(candidates.size()) / kInstances;
   Base::RandomSource random{ 1 };
   for (size_t rank = 0; rank < kInstances; ++rank) {
     const double middle = (static_cast<double>(rank) + 0.5) * share;
     for (const size_t joined : { rank, rank + 1 }) {
       const auto index =
-        Steering::ChooseFromPart(candidates, { joined, kInstances + 1 }, mNow, random);
+        Steering::ChooseFromSubset(candidates, { joined, kInstances + 1 }, mNow, random);
       const double distance = std::abs(static_cast<double>(*index) + 0.5 - middle);
-      // Half of the part, one share, one upstream, and the ring that joins the ends.
-      const double limit = Steering::kPartShares / 2 * share + share + 1;
+      // Half of the subset, one share, one upstream, and the ring that joins the ends.
+      const double limit = Steering::kSubsetShares / 2 * share + share + 1;
       CHECK_TRUE(distance <= limit || distance >= candidates.size() - limit);
     }
   }
 }
 
-// Guards against a part that is used beyond its slots, and against other upstreams that stay idle.
-TEST(EvenLoad, OtherUpstreamsAreUsedWhenThePartIsFull)
+// Guards against a subset that is used beyond its slots, and against other upstreams that stay
+// idle.
+TEST(EvenLoad, OtherUpstreamsAreUsedWhenTheSubsetIsFull)
 {
   Declare(1);
   for (uint64_t id = 1; id <= 40; ++id) {
@@ -192,8 +194,9 @@
   CHECK_COMPARE(Open(10, 2).size() + first.size(), >, 3);
 }
 
-// Guards against a part that ignores that an upstream drains, does not answer, or was tried before.
-TEST(EvenLoad, UnusableUpstreamsAreNoPartOfIt)
+// Guards against a subset that ignores that an upstream drains, does not answer, or was tried
+// before.
+TEST(EvenLoad, UnusableUpstreamsAreNotInTheSubset)
 {
   mSlots = 20;
   Declare(1);
@@ -210,7 +213,7 @@
   LONGS_EQUAL(0, opened.count(4));
 }
 
-// Guards against an instance without peers, or with a single one, that uses only a part.
+// Guards against an instance without peers, or with a single one, that uses only a subset.
 TEST(EvenLoad, FewInstancesUseTheWholeZone)
 {
   mSlots = 20;
@@ -219,11 +222,11 @@
     AddUpstream(id, "a");
   }
   JoinZone(1, 2);
-  CHECK_FALSE(Steering::HasPart(Steering::PositionOf(mState.mReports, mState.mInstance), 0));
+  CHECK_FALSE(Steering::HasSubset(Steering::PositionOf(mState.mReports, mState.mInstance), 0));
   LONGS_EQUAL(6, Open(1, 60).size());
 }
 
-// Guards against a part that is used although the reports describe the present load of all
+// Guards against a subset that is used although the reports describe the present load of all
 // upstreams: 30 s requests are in progress long after their report.
 TEST(EvenLoad, RecentReportsAreUsedForTheWholeZone)
 {
