--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -71,8 +71,8 @@
 /// others, the service is saturated.
 ///
 /// With several instances in the availability zone and reports that are old compared with the
-/// requests, each instance first uses its own subset of the upstreams, whose load it knows best, and
-/// samples only if the subset has no slot that is free of own flows.
+/// requests, each instance first uses its own subset of the upstreams, whose load it knows best,
+/// and samples only if the subset has no slot that is free of own flows.
 ///
 /// The upstreams of the availability zone take at most as many flows as they have slots, as far as
 /// the load reports tell. Reports lag, so each instance may exceed that up to its share. Without
