Name a local variable as the linter expects

The rename of the missed reports had left it in the style of the message's field, which failed the linter. The measurement sets all members of its input, as the compiler asks.

--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -71,8 +71,8 @@
   std::vector<LivePeer> live;
   for (const auto& [instance, entry] : aReports.mByInstance) {
     if (aNow - entry.mReceivedAt < LifetimeOf(entry.mReport)) {
-      const auto& not_received_from = entry.mReport.not_received_from();
-      live.push_back({ instance, { not_received_from.begin(), not_received_from.end() } });
+      const auto& notReceivedFrom = entry.mReport.not_received_from();
+      live.push_back({ instance, { notReceivedFrom.begin(), notReceivedFrom.end() } });
     }
   }
   return live;
--- a/src/tools/measure/choicemeasure.cpp
+++ b/src/tools/measure/choicemeasure.cpp
@@ -189,8 +189,10 @@
     Flow& flow = mFlows[aFlow];
     Entry& view = LoadViewOf(flow);
     const std::string zone = ZoneName(view.mZone);
-    const Steering::ChoiceInput input{ mDirectory, view.mLoads,      {},  kService, zone,
-                                       {},         kRunDuration * 2, mNow };
+    const Steering::ChoiceInput input{
+      mDirectory, view.mLoads, {},    kService, zone, {}, kRunDuration * 2,
+      mNow,       1,           false, nullptr,  {},   1
+    };
     const auto start = std::chrono::steady_clock::now();
     const Steering::Choice choice = Steering::ChooseUpstream(input, mChoiceRandom);
     mProcessorTime += std::chrono::steady_clock::now() - start;
