Keep the upstream of an open flow after its record is removed

Callers saw a reset of a flow that had paused, from an upstream that never held it, if the opening packet and its copy went through one entry instance and the handshake through another one: the second instance had no pin, and the tag in the caller's packets named the upstream that answered last.

Cause: without a pin, an instance forgot which upstream it had sent a flow to when the record was removed after 3 s, or never knew it if the flow was opened elsewhere. The late answer of the other upstream then decided.

Pins take precedence, closed flows are not kept, and nothing is sent to peers. The expiry of pins and cached flows shares expiringflows.h.

Evidence: tst_flowcache. With only the call taken out that caches flows of other instances, HandshakeAtAnotherInstance fails; with only the one taken out that keeps the tag of a removed record, CopyAtAnotherInstance fails.

--- a/src/libs/steering/flowpins.cpp
+++ b/src/libs/steering/flowpins.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Callers and upstreams may discard older flows.
-constexpr std::chrono::seconds kPinLifetime{ 60 };
 /// Flows that carry one request are closed before this, or their callers have given up. They need
 /// no pin at the peers.
 constexpr std::chrono::milliseconds kReportDelay{ 3000 };
@@ -24,8 +22,6 @@
 constexpr int64_t kPinBytesPerSecond = int64_t{ 6 } * 1024;
 /// Keeps a report small enough for a datagram.
 constexpr int64_t kMaxPinsPerReport = 64;
-/// Upper bound of the bytes that a caller sends on a flow within its lifetime.
-constexpr uint32_t kMaxFlowBytes = uint32_t{ 64 } * 1024 * 1024;
 
 int
 PinsPerReport(size_t aPeers, Base::Duration aInterval)
@@ -47,27 +43,11 @@
   aPin.mReportsLeft = kReportsPerPin;
 }
 
-void
-RemoveOldest(FlowPins& aPins)
-{
-  const FlowPins::Expiry& oldest = aPins.mExpiries.front();
-  const auto pin = aPins.mByFlow.find(oldest.mFlow);
-  // A later flow with the same addresses has an expiry of its own.
-  if (pin != aPins.mByFlow.end() && pin->second.mPinnedAt == oldest.mPinnedAt) {
-    aPins.mByFlow.erase(pin);
-  }
-  aPins.mExpiries.pop_front();
-}
-
 /// Stores the pin, in place of one for an earlier flow with the same addresses.
 FlowPin&
 Store(FlowPins& aPins, const FlowKey& aFlow, const FlowPin& aPin)
 {
-  if (aPins.mExpiries.size() >= kMaxPins) {
-    RemoveOldest(aPins);
-  }
-  aPins.mExpiries.push_back({ aFlow, aPin.mPinnedAt });
-  FlowPin& pin = aPins.mByFlow[aFlow];
+  FlowPin& pin = Internal::AddEntry(aPins, aFlow, aPin.mAddedAt, kMaxPins);
   const int reportsLeft = pin.mReportsLeft;
   pin = aPin;
   pin.mReportsLeft = reportsLeft;
@@ -116,7 +96,7 @@
   pin.mTag = aTag;
   pin.mSequence = aOpeningSequence;
   pin.mOrigin = aPins.mSelf;
-  pin.mPinnedAt = aNow;
+  pin.mAddedAt = aNow;
   Schedule(aPins, aFlow, Store(aPins, aFlow, pin), aNow + kReportDelay);
 }
 
@@ -124,7 +104,7 @@
 PinnedTag(const FlowPins& aPins, const FlowKey& aFlow, uint32_t aSequence)
 {
   const auto pin = aPins.mByFlow.find(aFlow);
-  if (pin == aPins.mByFlow.end() || aSequence - pin->second.mSequence > kMaxFlowBytes) {
+  if (pin == aPins.mByFlow.end() || !IsInFlow(pin->second.mSequence, aSequence)) {
     return std::nullopt;
   }
   return pin->second.mTag;
@@ -183,7 +163,7 @@
       pin.mTag = Directory::RouteTag(reported.tag());
       pin.mSequence = reported.sequence();
       pin.mOrigin = reported.origin();
-      pin.mPinnedAt = aNow;
+      pin.mAddedAt = aNow;
       Store(aPins, flow, pin);
     }
   }
@@ -227,9 +207,7 @@
 void
 ExpirePins(FlowPins& aPins, Base::TimePoint aNow)
 {
-  while (!aPins.mExpiries.empty() && aNow - aPins.mExpiries.front().mPinnedAt > kPinLifetime) {
-    RemoveOldest(aPins);
-  }
+  Internal::RemoveExpired(aPins, kMaxFlowAge, aNow);
 }
 
 } // namespace Steering
--- a/src/libs/steering/flowpins.h
+++ b/src/libs/steering/flowpins.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "steering/flowtable.h"
+#include "steering/expiringflows.h"
 #include "steering/loadreports.h"
 
 #include "fleet.pb.h"
@@ -8,7 +8,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace Steering {
 
@@ -20,7 +19,7 @@
   uint32_t mSequence = 0;
   /// Instance that saw the flow open.
   uint32_t mOrigin = 0;
-  Base::TimePoint mPinnedAt;
+  Base::TimePoint mAddedAt;
   /// True if the caller has closed the flow, so that it will not move to another instance.
   bool mClosing = false;
   /// Number of reports that the pin is still to be included in.
@@ -32,15 +31,10 @@
 /// the opening packet late, and only the instance that saw the handshake can tell.
 ///
 /// Every entry instance of the zone has all pins, because the fabric moves flows between instances.
-/// At most kMaxPins, oldest discarded first; each is kept for kPinLifetime. After a restart, the
+/// At most kMaxPins, oldest discarded first; each is kept for kMaxFlowAge. After a restart, the
 /// peers send the pins again.
-struct FlowPins
+struct FlowPins : ExpiringFlows<FlowPin>
 {
-  struct Expiry
-  {
-    FlowKey mFlow;
-    Base::TimePoint mPinnedAt;
-  };
   struct Pending
   {
     FlowKey mFlow;
@@ -48,9 +42,6 @@
   };
   /// This instance.
   uint32_t mSelf = 0;
-  std::unordered_map<FlowKey, FlowPin, FlowKeyHash> mByFlow;
-  /// All pins in the order of their expiry.
-  std::deque<Expiry> mExpiries;
   /// Pins with mReportsLeft > 0.
   std::deque<Pending> mPending;
   /// Peers that are asked to repeat their pins, and the number of reports that still ask them.
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -4,6 +4,7 @@
 #include "base/runtimeclock.h"
 #include "directory/upstream.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -22,6 +23,14 @@
 bool
 operator==(const FlowKey& aLeft, const FlowKey& aRight);
 
+/// Longest life of a flow. Callers and upstreams may discard older ones.
+constexpr std::chrono::seconds kMaxFlowAge{ 60 };
+
+/// \param aFirstSequence is the lowest sequence number of a flow.
+/// \return true if a packet with the same addresses belongs to this flow and not to a later one.
+bool
+IsInFlow(uint32_t aFirstSequence, uint32_t aSequence);
+
 struct FlowKeyHash
 {
   size_t operator()(const FlowKey& aKey) const;
@@ -60,6 +69,8 @@
   /// True if the missing answer to the latest opening packet was recorded against mTag.
   bool mUnansweredRecorded = false;
   Base::TimePoint mLastPacketAt;
+  /// True if the caller has closed or aborted the flow.
+  bool mClosing = false;
 };
 
 /// Flows opened at one entry instance, at most kMaxFlows. If the instance restarts, only the load
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -18,11 +18,18 @@
 /// An opening packet counts as unanswered if the caller's next packet does not arrive within this
 /// time. A round trip through a remote availability zone takes only a few milliseconds.
 constexpr milliseconds kAnswerTimeout{ 80 };
-constexpr seconds kFlowRecordLifetime{ 60 };
 /// Time for which the record of a flow without a request in progress is kept, for retransmitted
-/// packets. The flow may still be open: its later packets are forwarded by their tag or its pin.
+/// packets. The flow may still be open: its later packets are forwarded by its pin, by the cache or
+/// by their tag.
 constexpr seconds kIdleRecordLifetime{ 3 };
 
+/// \return true if the caller closes or aborts the flow.
+bool
+IsLastOfCaller(const Packet& aPacket)
+{
+  return aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort;
+}
+
 /// \return true if several upstreams may have received the opening packet of the flow.
 bool
 IsContested(const Flow& aFlow)
@@ -53,6 +60,17 @@
   StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, aFlow, aNow);
 }
 
+/// \return the tag of the upstream that serves the flow of a packet, if the flow has no record.
+Directory::RouteTag
+TagWithoutRecord(const State& aState, const Packet& aPacket)
+{
+  const auto pinned = PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence);
+  if (pinned.has_value()) {
+    return *pinned;
+  }
+  return CachedTag(aState.mFlowCache, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
+}
+
 /// Updates the record of the flow, if this instance has one.
 /// \param aHandshake receives the duration of the handshake if the packet completes it.
 /// \return the tag of the upstream that serves the flow.
@@ -62,15 +80,13 @@
            Base::TimePoint aNow,
            std::optional<Base::Duration>& aHandshake)
 {
-  if (aPacket.mKind == PacketKind::Closing || aPacket.mKind == PacketKind::Abort) {
-    MarkClosing(aState.mPins, aPacket.mFlow);
-  }
   const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
   if (found == aState.mFlows.mFlows.end()) {
-    return PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
+    return TagWithoutRecord(aState, aPacket);
   }
   Flow& flow = found->second;
   flow.mLastPacketAt = aNow;
+  flow.mClosing = flow.mClosing || IsLastOfCaller(aPacket);
   if (!flow.mConfirmed && aPacket.mKind != PacketKind::Abort) {
     aHandshake = aNow - flow.mOpenedAt;
     ConfirmFlow(aState, aPacket, flow, aNow);
@@ -89,6 +105,23 @@
   return flow.mTag;
 }
 
+/// Keeps the upstream of a flow that was opened at another instance, so that an upstream that
+/// answers a copy of its opening packet later does not take it over.
+void
+UpdateFlowCache(State& aState,
+                const Packet& aPacket,
+                Directory::RouteTag aTag,
+                Base::TimePoint aNow)
+{
+  if (IsLastOfCaller(aPacket)) {
+    MarkClosing(aState.mPins, aPacket.mFlow);
+    RemoveCached(aState.mFlowCache, aPacket.mFlow);
+  } else if (aState.mFlows.mFlows.count(aPacket.mFlow) == 0 &&
+             Directory::Find(aState.mDirectory, aTag) != nullptr) {
+    CacheForeignFlow(aState.mFlowCache, aPacket.mFlow, aPacket.mSequence, aTag, aNow);
+  }
+}
+
 /// \return true if the upstream may have been restarted with the same id at the same address.
 bool
 MayHaveRestarted(const Directory::MergedDirectory& aDirectory,
@@ -114,9 +147,7 @@
   const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
   const bool keepsTag = found != aState.mFlows.mFlows.end() &&
                         (found->second.mConfirmed || aPacket.mKind == PacketKind::Abort);
-  return keepsTag
-           ? found->second.mTag
-           : PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
+  return keepsTag ? found->second.mTag : TagWithoutRecord(aState, aPacket);
 }
 
 /// \return true if an upstream that is not in the directory may be alive. With a complete
@@ -148,6 +179,7 @@
   }
   std::optional<Base::Duration> handshake;
   const Directory::RouteTag tag = UpdateFlow(aState, aPacket, aNow, handshake);
+  UpdateFlowCache(aState, aPacket, tag, aNow);
   const Directory::MergedUpstream* upstream = Directory::Find(aState.mDirectory, tag);
   if (upstream == nullptr) {
     return Refuse(Action::Drop, Reason::UnknownTag);
@@ -360,10 +392,14 @@
       RecordUnansweredOpening(aState, flow, aNow);
     }
     const bool idle = flow.mConfirmed && !flow.mCountedInLoad && silence > kIdleRecordLifetime;
-    item = idle || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
+    if (idle && !flow.mClosing) {
+      CacheFlow(aState.mFlowCache, item->first, flow.mSequence, flow.mTag, aNow);
+    }
+    item = idle || silence > kMaxFlowAge ? flows.erase(item) : std::next(item);
   }
   ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
   ExpirePins(aState.mPins, aNow);
+  ExpireCachedFlows(aState.mFlowCache, aNow);
   for (const uint32_t lost : ExpireReports(aState.mReports, aState.mLoads, aNow)) {
     SchedulePinsOf(aState.mPins, lost, aNow);
   }
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -6,6 +6,7 @@
 #include "steering/coldstart.h"
 #include "steering/earlypackets.h"
 #include "steering/evacuations.h"
+#include "steering/flowcache.h"
 #include "steering/flowload.h"
 #include "steering/flowpins.h"
 #include "steering/flowtable.h"
@@ -140,6 +141,7 @@
   Evacuations mEvacuations;
   FlowTable mFlows;
   FlowPins mPins;
+  FlowCache mFlowCache;
   RequestTable mRequests;
   LoadTable mLoads;
   PeerReports mReports;
@@ -213,9 +215,9 @@
 std::vector<ReleasedPacket>
 ExpireEarlyPackets(State& aState, Base::TimePoint aNow);
 
-/// Expires idle flows, pins, load reports, upstreams and slow starts, and records unanswered
-/// opening packets. To be called about every 100 ms, so that unanswered packets are recorded soon
-/// after kAnswerTimeout.
+/// Expires idle flows, pins, cached flows, load reports, upstreams and slow starts, and records
+/// unanswered opening packets. To be called about every 100 ms, so that unanswered packets are
+/// recorded soon after kAnswerTimeout.
 void
 Expire(State& aState, Base::TimePoint aNow);
 
