--- a/src/libs/consensus/log.cpp
+++ b/src/libs/consensus/log.cpp
@@ -1,9 +1,38 @@
 #include "consensus/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Consensus {
 
+namespace {
+
+/// \return the size of all entries up to aIndex, which may be outside the entries in memory.
+uint64_t
+EndOffset(const Log& aLog, LogIndex aIndex)
+{
+  if (aIndex <= aLog.mBaseIndex || aLog.mEndOffsets.empty()) {
+    return aLog.mBaseOffset;
+  }
+  const size_t entry = std::min<size_t>(aIndex - aLog.mBaseIndex, aLog.mEndOffsets.size()) - 1;
+  return aLog.mEndOffsets[entry];
+}
+
+} // namespace
+
+void
+AppendEntry(Log& aLog, Entry aEntry)
+{
+  aLog.mEndOffsets.push_back(EndOffset(aLog, LastIndex(aLog)) + aEntry.ByteSizeLong());
+  aLog.mEntries.push_back(std::move(aEntry));
+}
+
+uint64_t
+BytesBetween(const Log& aLog, LogIndex aIndex, LogIndex aLast)
+{
+  return EndOffset(aLog, aLast) - EndOffset(aLog, std::min(aIndex, aLast));
+}
+
 LogIndex
 LastIndex(const Log& aLog)
 {
@@ -40,6 +69,7 @@
   const LogIndex keep = aIndex > aLog.mBaseIndex ? aIndex - aLog.mBaseIndex - 1 : 0;
   while (aLog.mEntries.size() > keep) {
     aLog.mEntries.pop_back();
+    aLog.mEndOffsets.pop_back();
   }
 }
 
@@ -51,7 +81,9 @@
     return;
   }
   const auto count = static_cast<std::ptrdiff_t>(aIndex - aLog.mBaseIndex);
+  aLog.mBaseOffset = EndOffset(aLog, aIndex);
   aLog.mEntries.erase(aLog.mEntries.begin(), aLog.mEntries.begin() + count);
+  aLog.mEndOffsets.erase(aLog.mEndOffsets.begin(), aLog.mEndOffsets.begin() + count);
   aLog.mBaseIndex = aIndex;
   aLog.mBaseTerm = *term;
 }
--- a/src/libs/consensus/log.h
+++ b/src/libs/consensus/log.h
@@ -19,16 +19,29 @@
 using Snapshot = lw::consensus::Snapshot;
 
 /// The part of the log that is kept in memory. Owned by the thread that runs the node. Its size is
-/// bounded by the snapshot interval plus the retained entries. After a restart it is read from the
-/// data directory.
+/// bounded by the snapshot interval plus the retained entries, in number and in bytes. After a
+/// restart it is read from the data directory.
 struct Log
 {
   /// Index of the entry before the first one in mEntries.
   LogIndex mBaseIndex = 0;
   Term mBaseTerm = 0;
+  /// Appended with AppendEntry.
   std::deque<Entry> mEntries;
+  /// For each entry, the total size in bytes of all entries up to it since the process started.
+  std::deque<uint64_t> mEndOffsets;
+  /// The same for the entry at mBaseIndex.
+  uint64_t mBaseOffset = 0;
 };
 
+void
+AppendEntry(Log& aLog, Entry aEntry);
+
+/// \return the size in bytes of the entries after aIndex, up to and including aLast. Entries that
+/// are not in memory do not count.
+uint64_t
+BytesBetween(const Log& aLog, LogIndex aIndex, LogIndex aLast);
+
 LogIndex
 LastIndex(const Log& aLog);
 
--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -96,7 +96,7 @@
     if (entry.kind() == lw::consensus::MEMBERSHIP && entry.index() > snapshot.index()) {
       aNode.mMemberships.push_back({ entry.index(), entry.membership() });
     }
-    aNode.mLog.mEntries.push_back(std::move(entry));
+    AppendEntry(aNode.mLog, std::move(entry));
   }
 }
 
@@ -228,7 +228,9 @@
   if (continues) {
     Compact(aNode.mLog, aSnapshot.index());
   } else {
-    aNode.mLog = { aSnapshot.index(), aSnapshot.term(), {} };
+    aNode.mLog = Log();
+    aNode.mLog.mBaseIndex = aSnapshot.index();
+    aNode.mLog.mBaseTerm = aSnapshot.term();
     aNode.mMemberships.clear();
   }
   auto& memberships = aNode.mMemberships;
@@ -305,7 +307,9 @@
 bool
 IsSnapshotDue(const Node& aNode, const Settings& aSettings)
 {
-  return aNode.mAppliedIndex >= aNode.mSnapshot.index() + aSettings.mSnapshotInterval;
+  const LogIndex last = aNode.mSnapshot.index();
+  return aNode.mAppliedIndex >= last + aSettings.mSnapshotInterval ||
+         BytesBetween(aNode.mLog, last, aNode.mAppliedIndex) >= aSettings.mSnapshotIntervalBytes;
 }
 
 Snapshot
@@ -320,16 +324,21 @@
 }
 
 LogIndex
-CompactionIndex(const Settings& aSettings, const Snapshot& aSnapshot)
+CompactionIndex(const Node& aNode, const Settings& aSettings, const Snapshot& aSnapshot)
 {
-  const LogIndex index = aSnapshot.index();
-  return index > aSettings.mRetainedEntries ? index - aSettings.mRetainedEntries : 0;
+  const LogIndex last = aSnapshot.index();
+  LogIndex index = last > aSettings.mRetainedEntries ? last - aSettings.mRetainedEntries : 0;
+  index = std::max(index, aNode.mLog.mBaseIndex);
+  while (index < last && BytesBetween(aNode.mLog, index, last) > aSettings.mRetainedBytes) {
+    ++index;
+  }
+  return index;
 }
 
 void
 SnapshotStored(Node& aNode, const Settings& aSettings, Snapshot aSnapshot)
 {
-  const LogIndex compacted = CompactionIndex(aSettings, aSnapshot);
+  const LogIndex compacted = CompactionIndex(aNode, aSettings, aSnapshot);
   auto& memberships = aNode.mMemberships;
   while (memberships.size() > 1 && memberships[1].mIndex <= aSnapshot.index()) {
     memberships.erase(memberships.begin());
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -43,9 +43,13 @@
   /// cluster, the peers are often not running yet at the first pre-vote.
   Base::Duration mPreVoteInterval = std::chrono::milliseconds(50);
   uint64_t mSnapshotInterval = 1000;
+  /// A snapshot is also due after entries of this total size. Complete configurations take up to
+  /// megabytes each, and a start reads all entries since the last snapshot into memory.
+  uint64_t mSnapshotIntervalBytes = uint64_t{ 8 } * 1024 * 1024;
   /// Number of entries kept before a snapshot, so that an instance that was unreachable briefly can
   /// catch up without a snapshot.
   uint64_t mRetainedEntries = 1000;
+  uint64_t mRetainedBytes = uint64_t{ 4 } * 1024 * 1024;
   size_t mMaxAppendEntries = 64;
   size_t mMaxAppendBytes = size_t{ 256 } * 1024;
   /// Maximum number of entries in flight to a follower beyond the last one that it confirmed.
@@ -235,8 +239,8 @@
 bool
 AwaitsRemoval(const Node& aNode, const Settings& aSettings);
 
-/// \return true if at least Settings::mSnapshotInterval entries were applied since the last
-/// snapshot.
+/// \return true if at least Settings::mSnapshotInterval entries, or entries of
+/// Settings::mSnapshotIntervalBytes, were applied since the last snapshot.
 bool
 IsSnapshotDue(const Node& aNode, const Settings& aSettings);
 
@@ -247,7 +251,7 @@
 
 /// \return the index of the last entry that can be discarded once this snapshot is synced.
 LogIndex
-CompactionIndex(const Settings& aSettings, const Snapshot& aSnapshot);
+CompactionIndex(const Node& aNode, const Settings& aSettings, const Snapshot& aSnapshot);
 
 /// Reports that a snapshot from MakeSnapshot is synced, and compacts the log.
 void
--- a/src/libs/consensus/roles.cpp
+++ b/src/libs/consensus/roles.cpp
@@ -116,7 +116,7 @@
 void
 AppendToLog(Node& aNode, const Entry& aEntry, Output& aOutput)
 {
-  aNode.mLog.mEntries.push_back(aEntry);
+  AppendEntry(aNode.mLog, aEntry);
   if (aEntry.kind() == lw::consensus::MEMBERSHIP) {
     aNode.mMemberships.push_back({ aEntry.index(), aEntry.membership() });
   }
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -51,7 +51,8 @@
   }
   Consensus::Snapshot snapshot =
     Consensus::MakeSnapshot(aReplica.mNode, aReplica.mPorts.mSaveState());
-  const Consensus::LogIndex compacted = Consensus::CompactionIndex(aReplica.mSettings, snapshot);
+  const Consensus::LogIndex compacted =
+    Consensus::CompactionIndex(aReplica.mNode, aReplica.mSettings, snapshot);
   if (StopOnFailure(aReplica, Storage::SaveSnapshot(aReplica.mDirectory, snapshot, compacted))) {
     Consensus::SnapshotStored(aReplica.mNode, aReplica.mSettings, std::move(snapshot));
   }
