Measure the processor time of a choice by the size of the directory

A choice passes over the whole directory, and no measurement shows what that costs. The simulations of `lw-measure choice` have 14 and 40 upstreams.

--- a/src/tools/measure/choicemeasure.cpp
+++ b/src/tools/measure/choicemeasure.cpp
@@ -1,5 +1,6 @@
 #include "measure/choicemeasure.h"
 
+#include "measure/choicecost.h"
 #include "measure/evenloadmeasure.h"
 #include "steering/choice.h"
 #include "steering/loadreports.h"
@@ -367,6 +368,7 @@
     }
     report.mSections.push_back(std::move(section));
   }
+  MeasureChoiceCost(aSeed, report);
   MeasureEvenLoad(aSeed, report);
   return report;
 }
