Separate the candidates of a choice from the selection

A choice looks up the load of each upstream several times: for its group, for the load of its place and for its cost. The functions that assign the group and the cost are not accessible to other files, so an explanation of a choice could not use them.

candidates.h declares them. A Candidate is an upstream with its load, so each load is looked up once in a choice, also if a zone under slow start is avoided first. LoadOf returns a reference instead of a copy.

--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -1,7 +1,8 @@
 #include "steering/choice.h"
 
+#include "steering/candidates.h"
+
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -10,15 +11,7 @@
 
 namespace {
 
-/// Groups of upstreams in order of preference. A group is used only if all groups before it are
-/// empty.
-enum PreferenceGroup
-{
-  Healthy,
-  Unresponsive,
-  AlreadyTried,
-  PreferenceGroupCount
-};
+using namespace Internal;
 
 /// Upstreams sampled from the local availability zone and from the remote ones.
 constexpr int kLocalSamples = 3;
@@ -27,125 +20,36 @@
 /// are old then compared with the requests, and the best of many samples is one that others choose
 /// too.
 constexpr int kSamplesOutsideSubset = 2;
-/// Added to the cost of an upstream in a remote availability zone, in flows per slot. With a lower
-/// penalty, flows cross availability zones while local slots are free, and fail if the link between
-/// the zones fails.
-constexpr double kRemotePenalty = 0.75;
 /// Flows for each slot of an instance's share of its availability zone's upstreams. More than one,
 /// because the end of a flow is known here later than at its upstream, whose slots must not idle.
 constexpr uint32_t kFlowsPerSharedSlot = 3;
 /// The same for flows that are late already, so that they do not delay those that are not.
 constexpr uint32_t kLateFlowsPerSharedSlot = 2;
-/// Factor by which an upstream is slower right after its start.
-constexpr double kColdStartFactor = 1.6;
-
-/// Slots and flows of the candidates in one place, local or remote.
-struct PlaceLoad
-{
-  uint32_t mSlots = 0;
-  uint32_t mOwnFlows = 0;
-  uint32_t mPeerFlows = 0;
-};
 
-struct Candidates
+/// The best candidate so far.
+struct Best
 {
-  std::vector<const Directory::MergedUpstream*> mLocal;
-  std::vector<const Directory::MergedUpstream*> mRemote;
-  PlaceLoad mLocalLoad;
-  PlaceLoad mRemoteLoad;
+  Candidate mCandidate;
+  double mCost = 0;
 };
 
-/// \return true if the upstream may get new flows of the service. If not, it is no candidate.
-bool
-TakesNewFlows(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
-{
-  const Directory::Upstream& described = aUpstream.mUpstream;
-  return described.mState == Directory::State::Ready && described.mService == aInput.mService &&
-         !IsEvacuated(aInput.mEvacuations, described.mAvailabilityZone);
-}
-
-/// \return true if the upstream is cold and this instance may not send to it now.
-bool
-IsColdLimited(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
-{
-  return aInput.mColdStarts != nullptr &&
-         !AllowsOpening(*aInput.mColdStarts, aUpstream, aInput.mNow);
-}
-
-PreferenceGroup
-PreferenceGroupOf(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
-{
-  const auto& tried = aInput.mExcluded;
-  if (std::find(tried.begin(), tried.end(), aUpstream.mTag) != tried.end()) {
-    return AlreadyTried;
-  }
-  const auto& zones = aInput.mLoads.mByRemoteZone;
-  const auto zone = zones.find(aUpstream.mUpstream.mAvailabilityZone);
-  if (zone != zones.end() && IsSuspended(zone->second, aInput.mNow)) {
-    return Unresponsive;
-  }
-  const bool leaseExpired =
-    aInput.mNow - Directory::LastAnnounced(aInput.mDirectory, aUpstream) > aInput.mLease;
-  return leaseExpired || IsSuspended(LoadOf(aInput.mLoads, aUpstream.mTag), aInput.mNow)
-           ? Unresponsive
-           : Healthy;
-}
-
-/// \param aPeerFlowsPerSlot are the flows that peers are expected to have placed since their
-/// reports.
-double
-Cost(const ChoiceInput& aInput,
-     const Directory::MergedUpstream& aUpstream,
-     double aPeerFlowsPerSlot)
-{
-  const Load load = LoadOf(aInput.mLoads, aUpstream.mTag);
-  const bool remote = aUpstream.mUpstream.mAvailabilityZone != aInput.mAvailabilityZone;
-  const double weight = remote ? 1 : aInput.mReportWeight;
-  const double flows = load.mOwnFlows + weight * load.mPeerFlows + 1;
-  double cost = flows / aUpstream.mUpstream.mSlots;
-  if (!remote) {
-    cost += aPeerFlowsPerSlot;
-  }
-  if (aInput.mNow < aUpstream.mUpstream.mColdUntil) {
-    cost *= kColdStartFactor;
-  }
-  return remote ? cost + kRemotePenalty : cost;
-}
-
 void
 SampleCandidates(const ChoiceInput& aInput,
-                 const std::vector<const Directory::MergedUpstream*>& aCandidates,
+                 const std::vector<Candidate>& aCandidates,
                  int aSamples,
                  double aPeerFlowsPerSlot,
                  Base::RandomSource& aRandom,
-                 const Directory::MergedUpstream*& aBest,
-                 double& aBestCost)
+                 Best& aBest)
 {
   for (int i = 0; i < aSamples && !aCandidates.empty(); ++i) {
-    const Directory::MergedUpstream* sampled =
-      aCandidates[Base::NextBelow(aRandom, aCandidates.size())];
-    const double cost = Cost(aInput, *sampled, aPeerFlowsPerSlot);
-    if (aBest == nullptr || cost < aBestCost) {
-      aBest = sampled;
-      aBestCost = cost;
+    const Candidate& sampled = aCandidates[Base::NextBelow(aRandom, aCandidates.size())];
+    const double cost = Cost(aInput, sampled, aPeerFlowsPerSlot);
+    if (aBest.mCandidate.mUpstream == nullptr || cost < aBest.mCost) {
+      aBest = { sampled, cost };
     }
   }
 }
 
-void
-AddCandidate(const ChoiceInput& aInput,
-             const Directory::MergedUpstream& aUpstream,
-             Candidates& aCandidates)
-{
-  const bool local = aUpstream.mUpstream.mAvailabilityZone == aInput.mAvailabilityZone;
-  (local ? aCandidates.mLocal : aCandidates.mRemote).push_back(&aUpstream);
-  PlaceLoad& place = local ? aCandidates.mLocalLoad : aCandidates.mRemoteLoad;
-  const Load load = LoadOf(aInput.mLoads, aUpstream.mTag);
-  place.mSlots += aUpstream.mUpstream.mSlots;
-  place.mOwnFlows += load.mOwnFlows;
-  place.mPeerFlows += load.mPeerFlows;
-}
-
 /// Products of slots exceed 32 bits if upstreams announce very many.
 uint32_t
 DivideRoundingUp(uint64_t aDividend, uint64_t aDivisor)
@@ -199,77 +103,83 @@
   return aCandidates.mRemoteLoad.mOwnFlows < share;
 }
 
-/// \return the flows for each slot that peers are expected to have placed since their reports. They
-/// count only if the availability zone is full: otherwise, they are the same for all its upstreams
-/// and would only send flows to remote ones while local slots are free.
-double
-ExpectedPeerFlowsPerSlot(const ChoiceInput& aInput, const PlaceLoad& aLocal)
-{
-  if (aLocal.mOwnFlows + aLocal.mPeerFlows < aLocal.mSlots || aLocal.mSlots == 0) {
-    return 0;
-  }
-  return (1 - aInput.mReportWeight) * aLocal.mPeerFlows / aLocal.mSlots;
-}
-
 /// \return the local upstreams in an order that all instances agree on. A restarted upstream keeps
 /// its place.
-std::vector<const Directory::MergedUpstream*>
-OrderedById(std::vector<const Directory::MergedUpstream*> aUpstreams)
+std::vector<Candidate>
+OrderedById(std::vector<Candidate> aCandidates)
 {
-  std::sort(aUpstreams.begin(), aUpstreams.end(), [](const auto* aFirst, const auto* aSecond) {
-    const auto& first = aFirst->mUpstream;
-    const auto& second = aSecond->mUpstream;
+  std::sort(aCandidates.begin(), aCandidates.end(), [](const auto& aFirst, const auto& aSecond) {
+    const auto& first = aFirst.mUpstream->mUpstream;
+    const auto& second = aSecond.mUpstream->mUpstream;
     return std::tie(first.mId, first.mStartedAtMs) < std::tie(second.mId, second.mStartedAtMs);
   });
-  return aUpstreams;
+  return aCandidates;
 }
 
-/// \return the upstream from this instance's subset of the availability zone, or nullptr if none
-/// has a slot that is free of own flows.
-const Directory::MergedUpstream*
+/// \return the best candidate from this instance's subset of the availability zone, or
+/// std::nullopt if none has a slot that is free of own flows.
+std::optional<Best>
 ChooseLocalFromSubset(const ChoiceInput& aInput,
                       const Candidates& aCandidates,
                       double aPeerFlowsPerSlot,
                       Base::RandomSource& aRandom)
 {
   if (!HasSubset(aInput.mPosition, aInput.mReportWeight) || aCandidates.mLocal.size() < 2) {
-    return nullptr;
+    return std::nullopt;
   }
-  const auto upstreams = OrderedById(aCandidates.mLocal);
+  const auto local = OrderedById(aCandidates.mLocal);
   std::vector<SubsetCandidate> candidates;
-  candidates.reserve(upstreams.size());
-  for (const Directory::MergedUpstream* upstream : upstreams) {
-    const Load load = LoadOf(aInput.mLoads, upstream->mTag);
+  candidates.reserve(local.size());
+  for (const Candidate& item : local) {
+    const Directory::Upstream& described = item.mUpstream->mUpstream;
     SubsetCandidate candidate;
-    candidate.mSlots = upstream->mUpstream.mSlots;
-    const bool cold = aInput.mNow < upstream->mUpstream.mColdUntil;
+    candidate.mSlots = described.mSlots;
+    const bool cold = aInput.mNow < described.mColdUntil;
     candidate.mWeight = candidate.mSlots / (cold ? kColdStartFactor : 1);
-    candidate.mOwnFlows = load.mOwnFlows;
-    candidate.mCost = Cost(aInput, *upstream, aPeerFlowsPerSlot);
-    candidate.mLastChosenAt = load.mLastChosenAt;
+    candidate.mOwnFlows = item.mLoad->mOwnFlows;
+    candidate.mCost = Cost(aInput, item, aPeerFlowsPerSlot);
+    candidate.mLastChosenAt = item.mLoad->mLastChosenAt;
     candidates.push_back(candidate);
   }
   const std::optional<size_t> chosen =
     ChooseFromSubset(candidates, aInput.mPosition, aInput.mNow, aRandom);
-  return chosen.has_value() ? upstreams[*chosen] : nullptr;
+  return chosen.has_value() ? std::optional(Best{ local[*chosen], candidates[*chosen].mCost })
+                            : std::nullopt;
 }
 
-void
-ChooseLocal(const ChoiceInput& aInput,
-            const Candidates& aCandidates,
-            Base::RandomSource& aRandom,
-            const Directory::MergedUpstream*& aBest,
-            double& aBestCost)
+Best
+ChooseLocal(const ChoiceInput& aInput, const Candidates& aCandidates, Base::RandomSource& aRandom)
 {
   const double peerFlows = ExpectedPeerFlowsPerSlot(aInput, aCandidates.mLocalLoad);
-  aBest = ChooseLocalFromSubset(aInput, aCandidates, peerFlows, aRandom);
-  if (aBest != nullptr) {
-    aBestCost = Cost(aInput, *aBest, peerFlows);
-    return;
+  const auto fromSubset = ChooseLocalFromSubset(aInput, aCandidates, peerFlows, aRandom);
+  if (fromSubset.has_value()) {
+    return *fromSubset;
   }
   const int samples =
     HasSubset(aInput.mPosition, aInput.mReportWeight) ? kSamplesOutsideSubset : kLocalSamples;
-  SampleCandidates(aInput, aCandidates.mLocal, samples, peerFlows, aRandom, aBest, aBestCost);
+  Best best;
+  SampleCandidates(aInput, aCandidates.mLocal, samples, peerFlows, aRandom, best);
+  return best;
+}
+
+size_t
+CountOf(const Candidates& aCandidates)
+{
+  return aCandidates.mLocal.size() + aCandidates.mRemote.size();
+}
+
+/// \return a choice of the best candidate, if there is one.
+Choice
+MakeChoice(const Candidates& aCandidates, const Best& aBest)
+{
+  Choice choice;
+  choice.mCandidates = CountOf(aCandidates);
+  choice.mUpstream = aBest.mCandidate.mUpstream;
+  if (choice.mUpstream != nullptr) {
+    const Load& load = *aBest.mCandidate.mLoad;
+    choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
+  }
+  return choice;
 }
 
 /// Chooses among responsive upstreams, as far as they have room.
@@ -282,15 +192,15 @@
   const PlaceLoad place =
     onlyRemote ? ShareOfRemoteSlots(aInput, aCandidates.mRemoteLoad) : aCandidates.mLocalLoad;
   const bool hasRoom = HasRoom(aInput, place);
-  Choice choice;
-  double cost = 0;
+  Best best;
   if (hasRoom) {
-    ChooseLocal(aInput, aCandidates, aRandom, choice.mUpstream, cost);
+    best = ChooseLocal(aInput, aCandidates, aRandom);
   }
   if (onlyRemote ? hasRoom : HasRemoteRoom(aInput, aCandidates)) {
     const int samples = onlyRemote ? kLocalSamples : kRemoteSamples;
-    SampleCandidates(aInput, aCandidates.mRemote, samples, 0, aRandom, choice.mUpstream, cost);
+    SampleCandidates(aInput, aCandidates.mRemote, samples, 0, aRandom, best);
   }
+  Choice choice = MakeChoice(aCandidates, best);
   choice.mSaturated = choice.mUpstream == nullptr;
   choice.mOwnFlows = place.mOwnFlows;
   choice.mPeerFlows = place.mPeerFlows;
@@ -304,64 +214,48 @@
                    const Candidates& aCandidates,
                    Base::RandomSource& aRandom)
 {
-  Choice choice;
-  double cost = 0;
-  SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, 0, aRandom, choice.mUpstream, cost);
+  Best best;
+  SampleCandidates(aInput, aCandidates.mLocal, kLocalSamples, 0, aRandom, best);
   const int remoteSamples = aCandidates.mLocal.empty() ? kLocalSamples : kRemoteSamples;
-  SampleCandidates(aInput, aCandidates.mRemote, remoteSamples, 0, aRandom, choice.mUpstream, cost);
-  return choice;
+  SampleCandidates(aInput, aCandidates.mRemote, remoteSamples, 0, aRandom, best);
+  return MakeChoice(aCandidates, best);
 }
 
 /// Chooses a responsive upstream outside the given availability zones.
 Choice
 ChooseOutside(const ChoiceInput& aInput,
+              const Candidates& aHealthy,
               const std::set<std::string>& aZones,
               Base::RandomSource& aRandom)
 {
-  Candidates candidates;
-  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    if (TakesNewFlows(aInput, upstream) && !IsColdLimited(aInput, upstream) &&
-        PreferenceGroupOf(aInput, upstream) == Healthy &&
-        aZones.count(upstream.mUpstream.mAvailabilityZone) == 0) {
-      AddCandidate(aInput, upstream, candidates);
+  Candidates outside;
+  for (const auto& place : { &aHealthy.mLocal, &aHealthy.mRemote }) {
+    for (const Candidate& candidate : *place) {
+      if (aZones.count(candidate.mUpstream->mUpstream.mAvailabilityZone) == 0) {
+        AddCandidate(aInput, candidate, outside);
+      }
     }
   }
-  Choice choice = ChooseWithRoom(aInput, candidates, aRandom);
-  choice.mCandidates = candidates.mLocal.size() + candidates.mRemote.size();
-  return choice;
+  return ChooseWithRoom(aInput, outside, aRandom);
 }
 
 /// Chooses among all upstreams that may get new flows, from the first group that is not empty.
 Choice
-ChooseFromGroups(const ChoiceInput& aInput, Base::RandomSource& aRandom)
+ChooseFromGroups(const ChoiceInput& aInput,
+                 const CandidateGroups& aGroups,
+                 Base::RandomSource& aRandom)
 {
-  std::array<Candidates, PreferenceGroupCount> groups;
-  size_t coldLimited = 0;
-  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    if (!TakesNewFlows(aInput, upstream)) {
-      continue;
-    }
-    if (IsColdLimited(aInput, upstream)) {
-      ++coldLimited;
-    } else {
-      AddCandidate(aInput, upstream, groups[PreferenceGroupOf(aInput, upstream)]);
-    }
-  }
+  Choice choice;
+  choice.mSaturated = aGroups.mColdLimited > 0;
   for (int group = Healthy; group < PreferenceGroupCount; ++group) {
-    const Candidates& candidates = groups[group];
-    const size_t count = candidates.mLocal.size() + candidates.mRemote.size();
-    if (count == 0) {
-      continue;
+    const Candidates& candidates = aGroups.mByGroup[group];
+    if (CountOf(candidates) > 0) {
+      choice = group == Healthy ? ChooseWithRoom(aInput, candidates, aRandom)
+                                : ChooseWithoutLimit(aInput, candidates, aRandom);
+      break;
     }
-    Choice choice = group == Healthy ? ChooseWithRoom(aInput, candidates, aRandom)
-                                     : ChooseWithoutLimit(aInput, candidates, aRandom);
-    choice.mCandidates = count;
-    choice.mColdLimited = coldLimited;
-    return choice;
   }
-  Choice choice;
-  choice.mSaturated = coldLimited > 0;
-  choice.mColdLimited = coldLimited;
+  choice.mColdLimited = aGroups.mColdLimited;
   return choice;
 }
 
@@ -372,18 +266,14 @@
 {
   const std::set<std::string> avoided =
     SelectZonesToAvoid(aInput.mEvacuations, aRandom, aInput.mNow);
-  Choice choice;
+  const CandidateGroups groups = CollectCandidates(aInput);
   if (!avoided.empty()) {
-    choice = ChooseOutside(aInput, avoided, aRandom);
-  }
-  if (choice.mUpstream == nullptr) {
-    choice = ChooseFromGroups(aInput, aRandom);
-  }
-  if (choice.mUpstream != nullptr) {
-    const Load load = LoadOf(aInput.mLoads, choice.mUpstream->mTag);
-    choice.mOutstanding = load.mOwnFlows + load.mPeerFlows;
+    const Choice choice = ChooseOutside(aInput, groups.mByGroup[Healthy], avoided, aRandom);
+    if (choice.mUpstream != nullptr) {
+      return choice;
+    }
   }
-  return choice;
+  return ChooseFromGroups(aInput, groups, aRandom);
 }
 
 } // namespace Steering
--- a/src/libs/steering/loadtable.cpp
+++ b/src/libs/steering/loadtable.cpp
@@ -18,14 +18,16 @@
 /// Longer than kMaxSuspension, so that the back-off of an unresponsive upstream is not reset
 /// between two suspensions.
 constexpr std::chrono::seconds kUnusedLoadLifetime{ 60 };
+/// Load of the upstreams that are not in the table.
+constexpr Load kUnusedLoad;
 
 } // namespace
 
-Load
+const Load&
 LoadOf(const LoadTable& aTable, Directory::RouteTag aTag)
 {
   const auto found = aTable.mByTag.find(aTag);
-  return found == aTable.mByTag.end() ? Load() : found->second;
+  return found == aTable.mByTag.end() ? kUnusedLoad : found->second;
 }
 
 void
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -37,7 +37,7 @@
 };
 
 /// \return the upstream's load, or an empty one if the upstream is not in the table.
-Load
+const Load&
 LoadOf(const LoadTable& aTable, Directory::RouteTag aTag);
 
 /// Records that a caller completed a handshake, which ends the suspension.
