--- a/src/libs/steering/candidates.cpp
+++ b/src/libs/steering/candidates.cpp
@@ -22,6 +22,12 @@
 
 } // namespace
 
+uint32_t
+Saturate(uint64_t aNumber)
+{
+  return static_cast<uint32_t>(std::min<uint64_t>(aNumber, UINT32_MAX));
+}
+
 Candidate
 MakeCandidate(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
 {
@@ -66,7 +72,7 @@
   const bool local = described.mAvailabilityZone == aInput.mAvailabilityZone;
   (local ? aCandidates.mLocal : aCandidates.mRemote).push_back(aCandidate);
   PlaceLoad& place = local ? aCandidates.mLocalLoad : aCandidates.mRemoteLoad;
-  place.mSlots += described.mSlots;
+  place.mSlots = Saturate(uint64_t{ place.mSlots } + described.mSlots);
   place.mOwnFlows += aCandidate.mLoad->mOwnFlows;
   place.mPeerFlows += aCandidate.mLoad->mPeerFlows;
 }
--- a/src/libs/steering/candidates.h
+++ b/src/libs/steering/candidates.h
@@ -54,6 +54,11 @@
   size_t mColdLimited = 0;
 };
 
+/// \return the number, or the largest one with 32 bits if that is smaller. Without it, upstreams
+/// that announce very many slots would have no room together.
+uint32_t
+Saturate(uint64_t aNumber);
+
 /// \return the upstream with its load.
 Candidate
 MakeCandidate(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream);
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -50,11 +50,12 @@
   }
 }
 
-/// Products of slots exceed 32 bits if upstreams announce very many.
+/// \return the rounded quotient, or the largest number with 32 bits if that is smaller. Products of
+/// slots exceed 32 bits if upstreams announce very many.
 uint32_t
 DivideRoundingUp(uint64_t aDividend, uint64_t aDivisor)
 {
-  return static_cast<uint32_t>((aDividend + aDivisor - 1) / aDivisor);
+  return Saturate(aDividend / aDivisor + (aDividend % aDivisor == 0 ? 0 : 1));
 }
 
 /// \return the flows that this instance may have in a place whatever its peers have there.
@@ -204,7 +205,7 @@
   choice.mSaturated = choice.mUpstream == nullptr;
   choice.mOwnFlows = place.mOwnFlows;
   choice.mPeerFlows = place.mPeerFlows;
-  choice.mZoneLimit = std::max(kFlowsPerSharedSlot * place.mSlots, 1U);
+  choice.mZoneLimit = std::max(Saturate(uint64_t{ kFlowsPerSharedSlot } * place.mSlots), 1U);
   choice.mOwnLimit = OwnLimit(aInput, place);
   return choice;
 }
