Repeat a vote that no candidate won after a short wait

Cause: after a split vote, all candidates and voters waited one to two election timeouts for the next attempt.

Change: a replica that takes part in a vote, or learns of a newer term, repeats the pre-vote after one to two intervals (mVoteRetryInterval, 50 ms). The interval is counted from the end of the replica's own sync, is extended by its duration, and doubles with each term without a commit up to the election timeout. A candidate that repeats its pre-vote keeps the votes of its term and still wins if they arrive late.

Each of the parts of the change, taken out alone, fails a test.

--- a/src/libs/consensus/election.cpp
+++ b/src/libs/consensus/election.cpp
@@ -29,20 +29,17 @@
   }
 }
 
-void
-StartVote(Node& aNode, const Context& aContext, Output& aOutput);
+bool
+IsQuorum(const Node& aNode, const std::set<StorageId>& aVotes)
+{
+  return HasQuorum(CurrentMembership(aNode),
+                   [&](StorageId aStorage) { return aVotes.count(aStorage) != 0; });
+}
 
 void
 CountVotes(Node& aNode, const Context& aContext, Output& aOutput)
 {
-  const bool won = HasQuorum(CurrentMembership(aNode),
-                             [&](StorageId aStorage) { return aNode.mVotes.count(aStorage) != 0; });
-  if (!won) {
-    return;
-  }
-  if (aNode.mRole == Role::PreCandidate) {
-    StartVote(aNode, aContext, aOutput);
-  } else {
+  if (IsQuorum(aNode, aNode.mVotes)) {
     BecomeLeader(aNode, aContext, aOutput);
   }
 }
@@ -50,7 +47,8 @@
 void
 StartVote(Node& aNode, const Context& aContext, Output& aOutput)
 {
-  ResetElectionDeadline(aNode, aContext);
+  ++aNode.mTermsWithoutCommit;
+  StartVoteWait(aNode, aContext);
   aNode.mRole = Role::Candidate;
   ++aNode.mHardState.mTerm;
   aNode.mHardState.mVotedFor = OwnStorageId(aNode);
@@ -61,6 +59,14 @@
   CountVotes(aNode, aContext, aOutput);
 }
 
+void
+CountPreVotes(Node& aNode, const Context& aContext, Output& aOutput)
+{
+  if (IsQuorum(aNode, aNode.mPreVotes)) {
+    StartVote(aNode, aContext, aOutput);
+  }
+}
+
 bool
 IsUpToDate(const Node& aNode, const lw::consensus::VoteRequest& aRequest)
 {
@@ -100,9 +106,9 @@
   }
   SetPreVoteDeadline(aNode, aContext);
   aNode.mRole = Role::PreCandidate;
-  aNode.mVotes = { OwnStorageId(aNode) };
+  aNode.mPreVotes = { OwnStorageId(aNode) };
   AskForVotes(aNode, aContext, aOutput);
-  CountVotes(aNode, aContext, aOutput);
+  CountPreVotes(aNode, aContext, aOutput);
 }
 
 void
@@ -124,7 +130,7 @@
   if (granted && !request.pre_vote()) {
     aNode.mHardState.mVotedFor = candidate;
     aOutput.mHardState = aNode.mHardState;
-    ResetElectionDeadline(aNode, aContext);
+    StartVoteWait(aNode, aContext);
   } else if (granted && aNode.mLeader == Base::InstanceId()) {
     // Lets the candidate win before this replica asks for votes itself, so that the votes are not
     // split.
@@ -144,15 +150,22 @@
 HandleVoteReply(Node& aNode, const Context& aContext, const Message& aMessage, Output& aOutput)
 {
   const lw::consensus::VoteReply& reply = aMessage.vote_reply();
-  const bool preVote = aNode.mRole == Role::PreCandidate;
-  const bool awaited = preVote || aNode.mRole == Role::Candidate;
-  const Term proposed = aNode.mHardState.mTerm + (preVote ? 1 : 0);
-  if (!awaited || reply.pre_vote() != preVote || reply.proposed_term() != proposed ||
-      !reply.granted()) {
+  const Term proposed = aNode.mHardState.mTerm + (reply.pre_vote() ? 1 : 0);
+  if (!reply.granted() || reply.proposed_term() != proposed) {
     return;
   }
-  aNode.mVotes.insert(StorageId(aMessage.from_storage()));
-  CountVotes(aNode, aContext, aOutput);
+  const StorageId voter(aMessage.from_storage());
+  const bool preCandidate = aNode.mRole == Role::PreCandidate;
+  if (reply.pre_vote() && preCandidate) {
+    aNode.mPreVotes.insert(voter);
+    CountPreVotes(aNode, aContext, aOutput);
+    return;
+  }
+  const bool candidate = aNode.mRole == Role::Candidate || (preCandidate && !aNode.mVotes.empty());
+  if (!reply.pre_vote() && candidate) {
+    aNode.mVotes.insert(voter);
+    CountVotes(aNode, aContext, aOutput);
+  }
 }
 
 } // namespace Consensus::Internal
--- a/src/libs/consensus/node.cpp
+++ b/src/libs/consensus/node.cpp
@@ -141,6 +141,7 @@
   if (aNode.mFailed) {
     return output;
   }
+  RestartVoteWait(aNode, aContext);
   if (aNode.mRole == Role::Leader) {
     if (!HasQuorumContact(aNode, aContext)) {
       BecomeFollower(aNode, aContext, aNode.mHardState.mTerm, output);
@@ -165,6 +166,7 @@
   if (aNode.mFailed || !IsAddressedTo(aMessage, aNode, aContext.mSettings)) {
     return output;
   }
+  RestartVoteWait(aNode, aContext);
   if (IsRetired(CurrentMembership(aNode), sender)) {
     SendRetiredNotice(aNode, aContext, aMessage, output);
     return output;
--- a/src/libs/consensus/node.h
+++ b/src/libs/consensus/node.h
@@ -42,6 +42,13 @@
   /// The interval can be short because a pre-vote changes no term. After a restart of the whole
   /// cluster, the peers are often not running yet at the first pre-vote.
   Base::Duration mPreVoteInterval = std::chrono::milliseconds(50);
+  /// After a vote that no candidate won, a pre-vote starts after a random time of one to two
+  /// intervals, counted from the sync of the vote and extended by its duration. The interval
+  /// doubles with each further term without a commit, up to mElectionTimeout, because waits that
+  /// are shorter than a vote would end every vote early. A vote takes 13 ms with messages of 4 ms
+  /// and a sync of 5 ms; the interval is two ticks of the driver (25 ms), so that the waits of two
+  /// replicas usually end at different ticks.
+  Base::Duration mVoteRetryInterval = std::chrono::milliseconds(50);
   uint64_t mSnapshotInterval = 1000;
   /// Number of entries kept before a snapshot, so that an instance that was unreachable briefly can
   /// catch up without a snapshot.
@@ -135,7 +142,18 @@
   Base::TimePoint mElectionDeadline;
   Base::TimePoint mNextHello;
   std::optional<Base::TimePoint> mLastLeaderContact;
+  /// Replicas that granted a pre-vote for the next term.
+  std::set<StorageId> mPreVotes;
+  /// Replicas that granted a vote for the current term. Kept while a candidate repeats the
+  /// pre-vote, because their votes are still valid. Empty if this replica was no candidate in this
+  /// term.
   std::set<StorageId> mVotes;
+  /// Number of new terms since the commit index last advanced. A leader that is deposed before it
+  /// commits an entry does not reset it.
+  uint32_t mTermsWithoutCommit = 0;
+  /// Time of the call that changed the term or the vote, until the next call. That one comes after
+  /// the sync.
+  std::optional<Base::TimePoint> mVoteSyncStart;
   bool mHandedOver = false;
   /// True if this replica is about to stop and asks the leader to replace it.
   bool mLeaving = false;
--- a/src/libs/consensus/roles.cpp
+++ b/src/libs/consensus/roles.cpp
@@ -40,6 +40,20 @@
   const auto spread = static_cast<uint64_t>(aInterval.count());
   const auto extra = static_cast<int64_t>(Base::NextBelow(aContext.mRandom, spread + 1));
   aNode.mElectionDeadline = aContext.mNow + aInterval + Base::Duration(extra);
+  aNode.mVoteSyncStart.reset();
+}
+
+/// \param aSync is the time that the sync of the vote took here, and is likely to take at the
+/// voters.
+void
+SetVoteDeadline(Node& aNode, const Context& aContext, Base::Duration aSync)
+{
+  const Settings& settings = aContext.mSettings;
+  Base::Duration interval = settings.mVoteRetryInterval;
+  for (uint32_t i = 1; i < aNode.mTermsWithoutCommit && interval < settings.mElectionTimeout; ++i) {
+    interval *= 2;
+  }
+  SetDeadline(aNode, aContext, std::min(interval + aSync, settings.mElectionTimeout));
 }
 
 } // namespace
@@ -56,6 +70,21 @@
   SetDeadline(aNode, aContext, aContext.mSettings.mPreVoteInterval);
 }
 
+void
+StartVoteWait(Node& aNode, const Context& aContext)
+{
+  SetVoteDeadline(aNode, aContext, Base::Duration(0));
+  aNode.mVoteSyncStart = aContext.mNow;
+}
+
+void
+RestartVoteWait(Node& aNode, const Context& aContext)
+{
+  if (aNode.mVoteSyncStart.has_value()) {
+    SetVoteDeadline(aNode, aContext, aContext.mNow - *aNode.mVoteSyncStart);
+  }
+}
+
 void
 ResetLeaderState(Node& aNode)
 {
@@ -70,7 +99,9 @@
 void
 BecomeFollower(Node& aNode, const Context& aContext, Term aTerm, Output& aOutput)
 {
-  if (aTerm > aNode.mHardState.mTerm) {
+  const bool newTerm = aTerm > aNode.mHardState.mTerm;
+  if (newTerm) {
+    ++aNode.mTermsWithoutCommit;
     aNode.mHardState.mTerm = aTerm;
     aNode.mHardState.mVotedFor = StorageId();
     aOutput.mHardState = aNode.mHardState;
@@ -86,8 +117,13 @@
   }
   aNode.mRole = Role::Follower;
   aNode.mLeader = Base::InstanceId();
+  aNode.mPreVotes.clear();
   aNode.mVotes.clear();
-  ResetElectionDeadline(aNode, aContext);
+  if (newTerm) {
+    StartVoteWait(aNode, aContext);
+  } else {
+    ResetElectionDeadline(aNode, aContext);
+  }
 }
 
 void
@@ -136,6 +172,7 @@
 void
 AdvanceApplied(Node& aNode, Output& aOutput)
 {
+  aNode.mTermsWithoutCommit = 0;
   while (aNode.mAppliedIndex < aNode.mCommitIndex) {
     ++aNode.mAppliedIndex;
     aOutput.mApply.push_back(EntryAt(aNode.mLog, aNode.mAppliedIndex));
--- a/src/libs/consensus/roles.h
+++ b/src/libs/consensus/roles.h
@@ -23,6 +23,16 @@
 void
 SetPreVoteDeadline(Node& aNode, const Context& aContext);
 
+/// Sets the election deadline for a vote in a new term to a random time one to two waits from now.
+/// The wait starts at Settings::mVoteRetryInterval and doubles with each term without a commit.
+void
+StartVoteWait(Node& aNode, const Context& aContext);
+
+/// Starts the wait again, at the first call after StartVoteWait. The term and the vote are synced
+/// between the two calls, so the wait starts after the sync and is extended by its duration.
+void
+RestartVoteWait(Node& aNode, const Context& aContext);
+
 /// Resets the state that depends on the current leader, at the start of a term.
 void
 ResetLeaderState(Node& aNode);
--- a/tests/auto/consensus/tst_voting.cpp
+++ b/tests/auto/consensus/tst_voting.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using std::chrono::milliseconds;
 
 namespace {
@@ -103,6 +105,32 @@
     return {};
   }
 
+  Consensus::Output ReceiveVote(uint64_t aStorage, Consensus::Term aTerm, bool aPreVote)
+  {
+    Consensus::Message message = From(aStorage, aPreVote ? aTerm - 1 : aTerm);
+    message.mutable_vote_reply()->set_pre_vote(aPreVote);
+    message.mutable_vote_reply()->set_proposed_term(aTerm);
+    message.mutable_vote_reply()->set_granted(true);
+    return Consensus::Receive(mNode, Context(), message);
+  }
+
+  /// Makes the node a candidate in the next term, and ends the sync of its vote after aSync.
+  void StartVote(milliseconds aSync)
+  {
+    mNow = mNode.mElectionDeadline;
+    Consensus::Tick(mNode, Context());
+    ReceiveVote(kOther, mNode.mHardState.mTerm + 1, true);
+    CHECK_TRUE(mNode.mRole == Consensus::Role::Candidate);
+    mNow += aSync;
+    Consensus::Tick(mNode, Context());
+  }
+
+  void CheckWait(Base::Duration aMin, Base::Duration aMax)
+  {
+    CHECK_TRUE(mNode.mElectionDeadline - mNow >= aMin);
+    CHECK_TRUE(mNode.mElectionDeadline - mNow <= aMax);
+  }
+
   Consensus::Output Synced(uint64_t aStorage, uint64_t aIndex, uint64_t aRound)
   {
     Consensus::Message message = From(aStorage, 4);
@@ -225,3 +253,121 @@
   LONGS_EQUAL(7, output.mFailedReads.at(0));
   LONGS_EQUAL(4, mNode.mHardState.mTerm);
 }
+
+// Guards against a candidate that discards its votes when they arrive after its first retry, and
+// against a leader of a term that has ended.
+TEST(Voting, CandidateWinsLateUnlessThereIsANewerTerm)
+{
+  for (const bool newerTerm : { false, true }) {
+    setup();
+    StartVote(milliseconds(1));
+    mNow = mNode.mElectionDeadline;
+    Consensus::Tick(mNode, Context());
+    CHECK_TRUE(mNode.mRole == Consensus::Role::PreCandidate);
+    if (newerTerm) {
+      Vote(kOther, 5, 1, 1);
+    }
+    ReceiveVote(kThird, 4, false);
+    CHECK_EQUAL(newerTerm, mNode.mRole != Consensus::Role::Leader);
+    LONGS_EQUAL(newerTerm ? 5 : 4, mNode.mHardState.mTerm);
+  }
+}
+
+// Guards against counting replies to a pre-vote as votes, in a replica that was no candidate.
+TEST(Voting, PreCandidateWithoutAVoteIsNotElected)
+{
+  mNow = mNode.mElectionDeadline;
+  Consensus::Tick(mNode, Context());
+  ReceiveVote(kOther, 3, false);
+  ReceiveVote(kThird, 3, false);
+  CHECK_TRUE(mNode.mRole == Consensus::Role::PreCandidate);
+}
+
+// Guards against terms that grow without bound while a candidate reaches no majority.
+TEST(Voting, RetryWithoutAWonPreVoteRaisesNoTerm)
+{
+  StartVote(milliseconds(1));
+  const Base::TimePoint end = mNow + std::chrono::seconds(60);
+  for (; mNow < end; mNow += milliseconds(25)) {
+    Consensus::Tick(mNode, Context());
+  }
+  CHECK_TRUE(mNode.mRole == Consensus::Role::PreCandidate);
+  LONGS_EQUAL(4, mNode.mHardState.mTerm);
+}
+
+// Guards against votes on a slow network that are all ended early by the next one.
+TEST(Voting, WaitGrowsWithEachVoteThatIsNotWon)
+{
+  const milliseconds sync(1);
+  Base::Duration interval = mSettings.mVoteRetryInterval;
+  for (int vote = 0; vote < 10; ++vote) {
+    StartVote(sync);
+    CheckWait(interval, (interval + sync) * 2);
+    interval = std::min<Base::Duration>(interval * 2, mSettings.mElectionTimeout);
+  }
+  Vote(kOther, mNode.mHardState.mTerm + 1, 2, 2);
+  CheckWait(mSettings.mElectionTimeout, mSettings.mElectionTimeout * 2);
+}
+
+// Guards against leaders that are deposed one after another by short waits before they commit an
+// entry, and against long waits in later elections.
+TEST(Voting, CommitEndsTheGrowthOfTheWait)
+{
+  StartVote(milliseconds(0));
+  StartVote(milliseconds(0));
+  ReceiveVote(kOther, 5, false);
+  CHECK_TRUE(mNode.mRole == Consensus::Role::Leader);
+  CHECK_TRUE(mNode.mTermsWithoutCommit == 2);
+  Consensus::EntriesSynced(mNode, Context(), 3, 5);
+  Consensus::Message message = From(kOther, 5);
+  message.mutable_append_reply()->set_matched(true);
+  message.mutable_append_reply()->set_synced_index(3);
+  Consensus::Receive(mNode, Context(), message);
+  LONGS_EQUAL(3, mNode.mCommitIndex);
+  CHECK_TRUE(mNode.mTermsWithoutCommit == 0);
+}
+
+// Guards against a wait that ends during the sync of the vote or before the sync of a voter with an
+// equally slow disk.
+TEST(Voting, WaitAllowsForTheSync)
+{
+  const milliseconds sync(150);
+  const Base::Duration min = mSettings.mVoteRetryInterval + sync;
+  StartVote(sync);
+  CheckWait(min, min * 2);
+  CHECK_TRUE(IsGranted(Vote(kOther, 5, 2, 2)));
+  mNow += sync;
+  Consensus::Tick(mNode, Context());
+  CheckWait(min, min * 4);
+}
+
+// Guards against a transfer of the leadership that the other voters, which are still in contact
+// with the old leader, refuse.
+TEST(Voting, TransferStartsTheVoteWithoutAPreVote)
+{
+  Consensus::Message message = From(kOther, 3);
+  message.mutable_hand_over();
+  const Consensus::Output output = Consensus::Receive(mNode, Context(), message);
+  LONGS_EQUAL(4, mNode.mHardState.mTerm);
+  LONGS_EQUAL(2, output.mMessages.size());
+  CHECK_FALSE(output.mMessages[0].vote_request().pre_vote());
+  CHECK_TRUE(output.mMessages[0].vote_request().handed_over());
+}
+
+// Guards against an election timeout without a leader after a candidate of a newer term was refused
+// because its log is behind, against ending the vote of the candidate that is granted next, and
+// against short waits of a replica that is never a candidate itself.
+TEST(Voting, WaitStartsWithANewerTermAndWithAGrantedVote)
+{
+  const Base::Duration interval = mSettings.mVoteRetryInterval;
+  CHECK_FALSE(IsGranted(Vote(kOther, 5, 1, 1)));
+  Consensus::Tick(mNode, Context());
+  CheckWait(interval, interval * 2);
+  mNow = mNode.mElectionDeadline - milliseconds(1);
+  CHECK_TRUE(IsGranted(Vote(kThird, 5, 2, 2)));
+  Consensus::Tick(mNode, Context());
+  CheckWait(interval, interval * 2);
+  CHECK_FALSE(IsGranted(Vote(kOther, 6, 1, 1)));
+  Consensus::Tick(mNode, Context());
+  CheckWait(interval * 2, interval * 4);
+}
