Index the ready upstreams by service and availability zone

Each choice passed over all upstreams of the directory, whatever their service, zone and state, and sorted the candidates of its zone.

The directory keeps the ready upstreams of each service by zone, in the order of their id and start, and the number of its upstreams in any state. Merge, Remove and RemoveExpiredUpstreams update the index with mByTag; a copy of a directory gets an index of its own. ChooseUpstream, IsDiverted and UpdateHeldUpstreams use it, and a choice no longer sorts. The fault model removes upstreams with Directory::Remove instead of writing to mByTag, which would bypass the index.

Decisions change only where the order in which the hash table listed upstreams decided which ones are sampled.

--- a/src/libs/directory/mergeddirectory.cpp
+++ b/src/libs/directory/mergeddirectory.cpp
@@ -14,12 +14,34 @@
 /// packet of a flow arrives.
 constexpr std::chrono::seconds kUpstreamRetention{ 120 };
 
+const ZoneIndex kNoZones;
+const ZoneUpstreams kNoUpstreams;
+
+/// Adds an upstream whose tag is not in the directory.
+void
+Add(MergedDirectory& aDirectory, const MergedUpstream& aUpstream)
+{
+  const auto item = aDirectory.mByTag.emplace(aUpstream.mTag, aUpstream).first;
+  AddToIndex(aDirectory.mByService, item->second);
+}
+
+/// Replaces the properties of an upstream of the directory.
+void
+SetProperties(MergedDirectory& aDirectory, MergedUpstream& aKnown, const Upstream& aProperties)
+{
+  RemoveFromIndex(aDirectory.mByService, aKnown);
+  aKnown.mUpstream = aProperties;
+  AddToIndex(aDirectory.mByService, aKnown);
+}
+
 void
 MarkGone(MergedDirectory& aDirectory, RouteTag aTag, std::vector<RouteTag>& aRetired)
 {
   const auto found = aDirectory.mByTag.find(aTag);
   if (found != aDirectory.mByTag.end() && found->second.mUpstream.mState != State::Gone) {
-    found->second.mUpstream.mState = State::Gone;
+    Upstream gone = found->second.mUpstream;
+    gone.mState = State::Gone;
+    SetProperties(aDirectory, found->second, gone);
     aRetired.push_back(aTag);
   }
 }
@@ -92,14 +114,12 @@
     const bool hasAddress = next.mUpstream.mAddress.mPort != 0;
     const bool addressIsNew = hasAddress && known.mUpstream.mAddress.mPort == 0;
     const State before = known.mUpstream.mState;
-    const State state = std::max(before, next.mUpstream.mState);
+    Upstream properties = hasAddress ? next.mUpstream : known.mUpstream;
+    properties.mState = std::max(before, next.mUpstream.mState);
     known.mLastAnnouncedAt = std::max(known.mLastAnnouncedAt, next.mLastAnnouncedAt);
     UpdatePresence(known, aControl, aMessage.silent());
-    if (hasAddress) {
-      known.mUpstream = next.mUpstream;
-    }
-    known.mUpstream.mState = state;
-    if (before == State::Ready && state != State::Ready) {
+    SetProperties(aDirectory, known, properties);
+    if (before == State::Ready && properties.mState != State::Ready) {
       aRetired.push_back(known.mTag);
     }
     if (addressIsNew) {
@@ -116,7 +136,7 @@
     MarkGone(aDirectory, std::exchange(newest->second, next.mTag), aRetired);
   }
   UpdatePresence(next, aControl, aMessage.silent());
-  aDirectory.mByTag[next.mTag] = next;
+  Add(aDirectory, next);
   if (next.mUpstream.mAddress.mPort != 0) {
     AssignAddress(aDirectory, next, aRetired);
   }
@@ -124,6 +144,23 @@
 
 } // namespace
 
+MergedDirectory::MergedDirectory(const MergedDirectory& aOther)
+  : mByTag(aOther.mByTag)
+  , mNewest(aOther.mNewest)
+  , mByAddress(aOther.mByAddress)
+  , mSources(aOther.mSources)
+{
+  for (const auto& [tag, upstream] : mByTag) {
+    AddToIndex(mByService, upstream);
+  }
+}
+
+MergedDirectory&
+MergedDirectory::operator=(const MergedDirectory& aOther)
+{
+  return *this = MergedDirectory(aOther);
+}
+
 std::vector<RouteTag>
 Merge(MergedDirectory& aDirectory,
       Base::InstanceId aControl,
@@ -173,28 +210,58 @@
   return found == aDirectory.mByTag.end() ? nullptr : &found->second;
 }
 
+const ZoneIndex&
+ZonesOf(const MergedDirectory& aDirectory, const std::string& aService)
+{
+  const auto found = aDirectory.mByService.find(aService);
+  return found == aDirectory.mByService.end() ? kNoZones : found->second;
+}
+
+const ZoneUpstreams&
+UpstreamsIn(const MergedDirectory& aDirectory,
+            const std::string& aService,
+            const std::string& aAvailabilityZone)
+{
+  const ZoneIndex& zones = ZonesOf(aDirectory, aService);
+  const auto found = zones.find(aAvailabilityZone);
+  return found == zones.end() ? kNoUpstreams : found->second;
+}
+
+void
+Remove(MergedDirectory& aDirectory, RouteTag aTag)
+{
+  const auto item = aDirectory.mByTag.find(aTag);
+  if (item == aDirectory.mByTag.end()) {
+    return;
+  }
+  const MergedUpstream& upstream = item->second;
+  const auto newest = aDirectory.mNewest.find(upstream.mUpstream.mId);
+  if (newest != aDirectory.mNewest.end() && newest->second == aTag) {
+    aDirectory.mNewest.erase(newest);
+  }
+  const auto holder = aDirectory.mByAddress.find(upstream.mUpstream.mAddress);
+  if (holder != aDirectory.mByAddress.end() && holder->second == aTag) {
+    aDirectory.mByAddress.erase(holder);
+  }
+  RemoveFromIndex(aDirectory.mByService, upstream);
+  aDirectory.mByTag.erase(item);
+}
+
 void
 RemoveExpiredUpstreams(MergedDirectory& aDirectory, Base::TimePoint aNow)
 {
-  for (auto item = aDirectory.mByTag.begin(); item != aDirectory.mByTag.end();) {
-    const MergedUpstream& upstream = item->second;
-    if (aNow - LastAnnounced(aDirectory, upstream) <= kUpstreamRetention) {
-      ++item;
-      continue;
-    }
-    const auto newest = aDirectory.mNewest.find(upstream.mUpstream.mId);
-    if (newest != aDirectory.mNewest.end() && newest->second == upstream.mTag) {
-      aDirectory.mNewest.erase(newest);
+  std::vector<RouteTag> expired;
+  for (const auto& [tag, upstream] : aDirectory.mByTag) {
+    if (aNow - LastAnnounced(aDirectory, upstream) > kUpstreamRetention) {
+      expired.push_back(tag);
     }
-    const auto holder = aDirectory.mByAddress.find(upstream.mUpstream.mAddress);
-    if (holder != aDirectory.mByAddress.end() && holder->second == upstream.mTag) {
-      aDirectory.mByAddress.erase(holder);
-    }
-    item = aDirectory.mByTag.erase(item);
+  }
+  for (const RouteTag tag : expired) {
+    Remove(aDirectory, tag);
   }
   for (auto item = aDirectory.mSources.begin(); item != aDirectory.mSources.end();) {
-    const bool expired = aNow - item->second.mRepliedAt > kUpstreamRetention;
-    item = expired ? aDirectory.mSources.erase(item) : std::next(item);
+    const bool isExpired = aNow - item->second.mRepliedAt > kUpstreamRetention;
+    item = isExpired ? aDirectory.mSources.erase(item) : std::next(item);
   }
 }
 
--- a/src/libs/directory/mergeddirectory.h
+++ b/src/libs/directory/mergeddirectory.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/ids.h"
+#include "directory/serviceindex.h"
 #include "directory/upstream.h"
 
 #include "fleet.pb.h"
 
 #include <map>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -39,7 +41,18 @@
 /// report; rebuilt from their replies after a restart.
 struct MergedDirectory
 {
+  MergedDirectory() = default;
+  /// mByService refers to elements of mByTag, so a copy gets an index of its own.
+  MergedDirectory(const MergedDirectory& aOther);
+  MergedDirectory& operator=(const MergedDirectory& aOther);
+  MergedDirectory(MergedDirectory&& aOther) = default;
+  MergedDirectory& operator=(MergedDirectory&& aOther) = default;
+  ~MergedDirectory() = default;
+
+  /// Upstreams are added, removed, and changed in what mByService depends on, only by the functions
+  /// below, which update both.
   std::unordered_map<RouteTag, MergedUpstream> mByTag;
+  ServiceIndex mByService;
   /// Newest start of each id.
   std::map<UpstreamId, RouteTag> mNewest;
   std::map<Base::Endpoint, RouteTag> mByAddress;
@@ -62,6 +75,20 @@
 const MergedUpstream*
 Find(const MergedDirectory& aDirectory, RouteTag aTag);
 
+/// \return the upstreams of the service by availability zone.
+const ZoneIndex&
+ZonesOf(const MergedDirectory& aDirectory, const std::string& aService);
+
+/// \return the upstreams of the service in the availability zone, an empty list if there are none.
+const ZoneUpstreams&
+UpstreamsIn(const MergedDirectory& aDirectory,
+            const std::string& aService,
+            const std::string& aAvailabilityZone);
+
+/// Removes the upstream with this tag, if there is one. The tag is unknown afterwards.
+void
+Remove(MergedDirectory& aDirectory, RouteTag aTag);
+
 /// Removes upstreams that have not announced themselves for long, and control instances that have
 /// not replied for long. The tags of removed upstreams are unknown afterwards.
 void
--- a/src/libs/steering/assignment.cpp
+++ b/src/libs/steering/assignment.cpp
@@ -8,19 +8,14 @@
 
 namespace {
 
-/// \return true if the service has upstreams in this instance's availability zone, and the zone is
-/// evacuated.
+/// \return true if the service has ready upstreams in this instance's availability zone, and the
+/// zone is evacuated.
 bool
 IsDiverted(const State& aState, const Settings& aSettings, const std::string& aService)
 {
   const std::string& zone = aSettings.mAvailabilityZone;
-  const auto& upstreams = aState.mDirectory.mByTag;
   return IsEvacuated(aState.mEvacuations, zone) &&
-         std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
-           const Directory::Upstream& upstream = aItem.second.mUpstream;
-           return upstream.mState == Directory::State::Ready && upstream.mService == aService &&
-                  upstream.mAvailabilityZone == zone;
-         });
+         !Directory::UpstreamsIn(aState.mDirectory, aService, zone).mReady.empty();
 }
 
 } // namespace
--- a/src/libs/steering/candidates.cpp
+++ b/src/libs/steering/candidates.cpp
@@ -11,15 +11,6 @@
 /// the zones fails.
 constexpr double kRemotePenalty = 0.75;
 
-/// \return true if the upstream may get new flows of the service. If not, it is no candidate.
-bool
-TakesNewFlows(const ChoiceInput& aInput, const Directory::MergedUpstream& aUpstream)
-{
-  const Directory::Upstream& described = aUpstream.mUpstream;
-  return described.mState == Directory::State::Ready && described.mService == aInput.mService &&
-         !IsEvacuated(aInput.mEvacuations, described.mAvailabilityZone);
-}
-
 } // namespace
 
 Candidate
@@ -75,16 +66,18 @@
 CollectCandidates(const ChoiceInput& aInput)
 {
   CandidateGroups groups;
-  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    if (!TakesNewFlows(aInput, upstream)) {
+  for (const auto& [zone, upstreams] : Directory::ZonesOf(aInput.mDirectory, aInput.mService)) {
+    if (IsEvacuated(aInput.mEvacuations, zone)) {
       continue;
     }
-    if (IsColdLimited(aInput, upstream)) {
-      ++groups.mColdLimited;
-      continue;
+    for (const Directory::MergedUpstream* upstream : upstreams.mReady) {
+      if (IsColdLimited(aInput, *upstream)) {
+        ++groups.mColdLimited;
+        continue;
+      }
+      const Candidate candidate = MakeCandidate(aInput, *upstream);
+      AddCandidate(aInput, candidate, groups.mByGroup[PreferenceGroupOf(aInput, candidate)]);
     }
-    const Candidate candidate = MakeCandidate(aInput, upstream);
-    AddCandidate(aInput, candidate, groups.mByGroup[PreferenceGroupOf(aInput, candidate)]);
   }
   return groups;
 }
--- a/src/libs/steering/candidates.h
+++ b/src/libs/steering/candidates.h
@@ -37,7 +37,8 @@
   uint32_t mPeerFlows = 0;
 };
 
-/// Candidates of one group.
+/// Candidates of one group. Those of an availability zone are in the order of their id and start,
+/// on which all instances agree. A restarted upstream keeps its place.
 struct Candidates
 {
   std::vector<Candidate> mLocal;
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <optional>
 #include <set>
-#include <tuple>
 
 namespace Steering {
 
@@ -78,14 +77,10 @@
 PlaceLoad
 ShareOfRemoteSlots(const ChoiceInput& aInput, const PlaceLoad& aRemote)
 {
-  std::set<std::string> zones{ aInput.mAvailabilityZone };
-  for (const auto& [tag, upstream] : aInput.mDirectory.mByTag) {
-    if (upstream.mUpstream.mService == aInput.mService) {
-      zones.insert(upstream.mUpstream.mAvailabilityZone);
-    }
-  }
+  const auto& zones = Directory::ZonesOf(aInput.mDirectory, aInput.mService);
+  const size_t own = zones.count(aInput.mAvailabilityZone) == 0 ? 1 : 0;
   PlaceLoad share = aRemote;
-  share.mSlots = DivideRoundingUp(aRemote.mSlots, zones.size());
+  share.mSlots = DivideRoundingUp(aRemote.mSlots, zones.size() + own);
   return share;
 }
 
@@ -103,19 +98,6 @@
   return aCandidates.mRemoteLoad.mOwnFlows < share;
 }
 
-/// \return the local upstreams in an order that all instances agree on. A restarted upstream keeps
-/// its place.
-std::vector<Candidate>
-OrderedById(std::vector<Candidate> aCandidates)
-{
-  std::sort(aCandidates.begin(), aCandidates.end(), [](const auto& aFirst, const auto& aSecond) {
-    const auto& first = aFirst.mUpstream->mUpstream;
-    const auto& second = aSecond.mUpstream->mUpstream;
-    return std::tie(first.mId, first.mStartedAtMs) < std::tie(second.mId, second.mStartedAtMs);
-  });
-  return aCandidates;
-}
-
 /// \return the best candidate from this instance's subset of the availability zone, or
 /// std::nullopt if none has a slot that is free of own flows.
 std::optional<Best>
@@ -127,7 +109,7 @@
   if (!HasSubset(aInput.mPosition, aInput.mReportWeight) || aCandidates.mLocal.size() < 2) {
     return std::nullopt;
   }
-  const auto local = OrderedById(aCandidates.mLocal);
+  const auto& local = aCandidates.mLocal;
   std::vector<SubsetCandidate> candidates;
   candidates.reserve(local.size());
   for (const Candidate& item : local) {
--- a/src/libs/steering/coldstart.cpp
+++ b/src/libs/steering/coldstart.cpp
@@ -178,23 +178,23 @@
   }
   UpdateStability(aColdStarts, aView, interrupted, aNow);
   std::unordered_map<Directory::RouteTag, HeldUpstream> held;
-  for (const auto& [tag, upstream] : aDirectory.mByTag) {
-    const Directory::Upstream& described = upstream.mUpstream;
-    const bool canTakeFlows = described.mState == Directory::State::Ready &&
-                              described.mAvailabilityZone == aView.mAvailabilityZone;
-    const std::optional<double> rate = RateLimitOf(aColdStarts, described, aNow);
-    if (!canTakeFlows || !rate.has_value() || !IsHolder(aView, tag) ||
-        !HasMajority(aColdStarts.mListed, aView, tag)) {
-      continue;
-    }
-    HeldUpstream& entry = held[tag];
-    const auto known = aColdStarts.mHeld.find(tag);
-    if (known != aColdStarts.mHeld.end()) {
-      entry = std::move(known->second);
-    } else {
-      entry.mSince = aColdStarts.mStableSince;
+  for (const auto& [service, rate] : aColdStarts.mRates) {
+    const auto& upstreams = Directory::UpstreamsIn(aDirectory, service, aView.mAvailabilityZone);
+    for (const Directory::MergedUpstream* upstream : upstreams.mReady) {
+      const Directory::RouteTag tag = upstream->mTag;
+      if (aNow >= upstream->mUpstream.mColdUntil || !IsHolder(aView, tag) ||
+          !HasMajority(aColdStarts.mListed, aView, tag)) {
+        continue;
+      }
+      HeldUpstream& entry = held[tag];
+      const auto known = aColdStarts.mHeld.find(tag);
+      if (known != aColdStarts.mHeld.end()) {
+        entry = std::move(known->second);
+      } else {
+        entry.mSince = aColdStarts.mStableSince;
+      }
+      entry.mSendsFrom = entry.mSince + HandoverWait(aView, LimitFor(rate));
     }
-    entry.mSendsFrom = entry.mSince + HandoverWait(aView, LimitFor(*rate));
   }
   aColdStarts.mHeld = std::move(held);
 }
--- a/tests/auto/measure/tst_choicemeasure.cpp
+++ b/tests/auto/measure/tst_choicemeasure.cpp
@@ -1,3 +1,4 @@
+#include "measure/choicecost.h"
 #include "measure/choicemeasure.h"
 
 #include <CppUTest/TestHarness.h>
@@ -23,3 +24,13 @@
     CHECK_TRUE(Measure::RunChoice(seed, LoadTracking::Reports, 0.85).mWithinObjective >= 0.99);
   }
 }
+
+// Guards against a choice that passes over the upstreams of other services. The measured factor is
+// 2.2 to 2.4, and 134 to 140 without the index by service.
+TEST(ChoiceMeasure, OtherServicesDoNotAddToTheCost)
+{
+  const Measure::ChoiceCostFigures few = Measure::RunChoiceCost(1, 160, 2, 2000);
+  const Measure::ChoiceCostFigures many = Measure::RunChoiceCost(1, 16000, 200, 2000);
+  DOUBLES_EQUAL(few.mCandidates, many.mCandidates, 0);
+  CHECK_TRUE(many.mProcessorMicroseconds < 20 * few.mProcessorMicroseconds);
+}
--- a/tests/auto/steering/fleetmodelflows.cpp
+++ b/tests/auto/steering/fleetmodelflows.cpp
@@ -168,7 +168,7 @@
   if (mFault == ModelFault::AcceptLateAnnouncements) {
     for (const lw::fleet::Upstream& upstream : aReply.mReply.upstreams()) {
       const Directory::UpstreamId id(upstream.id());
-      entry.mState.mDirectory.mByTag.erase(Directory::TagOf(id, upstream.started_at_ms()));
+      Directory::Remove(entry.mState.mDirectory, Directory::TagOf(id, upstream.started_at_ms()));
       entry.mState.mDirectory.mNewest.erase(id);
     }
   }
