--- a/src/libs/directory/mergeddirectory.cpp
+++ b/src/libs/directory/mergeddirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 namespace Directory {
@@ -25,10 +26,26 @@
   AddToIndex(aDirectory.mByService, item->second);
 }
 
-/// Replaces the properties of an upstream of the directory.
+/// The properties that the index depends on.
+auto
+IndexedProperties(const Upstream& aUpstream)
+{
+  return std::tie(aUpstream.mService,
+                  aUpstream.mAvailabilityZone,
+                  aUpstream.mId,
+                  aUpstream.mStartedAtMs,
+                  aUpstream.mState);
+}
+
+/// Replaces the properties of an upstream of the directory. Several control instances report the
+/// same properties, which leave the index as it is.
 void
 SetProperties(MergedDirectory& aDirectory, MergedUpstream& aKnown, const Upstream& aProperties)
 {
+  if (IndexedProperties(aKnown.mUpstream) == IndexedProperties(aProperties)) {
+    aKnown.mUpstream = aProperties;
+    return;
+  }
   RemoveFromIndex(aDirectory.mByService, aKnown);
   aKnown.mUpstream = aProperties;
   AddToIndex(aDirectory.mByService, aKnown);
