Eject upstreams that accept flows but answer no requests

Cause: a completed handshake counts as an answer, so an upstream that resets each flow at its first request or hangs is not suspended. Its requests are removed from the load after 4 mean durations, so it appears idle and gets more flows than others.

Change: an entry instance counts answered and unanswered requests of each upstream (half-life 1 s), reports them to its peers for upstreams with unanswered ones, and ejects outliers for 1 s, doubled up to 8 s. An ejected upstream belongs to the group Unresponsive of the choice. Afterwards it gets one flow at a time, of a route whose requests can be repeated if there is one, until a request is answered. Control instances send the kind of a route to entry instances. Ejection is off unless Outliers::mEnabled is set.

No upstream is ejected if all are slow together or the answers to 5% of the requests are not seen.

--- a/src/libs/directory/routehistory.cpp
+++ b/src/libs/directory/routehistory.cpp
@@ -35,6 +35,7 @@
   *route.mutable_services() = aRoute.services();
   route.set_latency_objective_ms(aRoute.latency_objective_ms());
   route.set_priority(aRoute.priority());
+  route.set_kind(aRoute.kind());
   return route;
 }
 
--- a/src/libs/steering/assignment.cpp
+++ b/src/libs/steering/assignment.cpp
@@ -32,7 +32,7 @@
           bool aIsLate,
           Base::TimePoint aNow)
 {
-  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aState.mOutliers, aNow);
   const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
   const Base::Duration interval = ReportInterval(aState.mInstances);
   const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
@@ -48,7 +48,8 @@
                            aIsLate,
                            aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
                            position,
-                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
+                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1,
+                           ViewFor(aState.mOutliers, aFlow.mService, aFlow.mIsRepeatable) };
   Choice choice = ChooseUpstream(input, aState.mRandom);
   choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
   return choice;
@@ -89,6 +90,7 @@
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   AddToLoad(aState.mLoads, aFlow);
   RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
+  RecordAssignment(aState.mOutliers, aFlow.mTag, aNow);
   aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
   Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
   decision.mCandidates = aChoice.mCandidates;
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -79,6 +79,9 @@
   if (std::find(tried.begin(), tried.end(), aUpstream.mTag) != tried.end()) {
     return AlreadyTried;
   }
+  if (IsAvoided(aInput.mEjections, aUpstream.mTag, aInput.mNow)) {
+    return Unresponsive;
+  }
   const auto& zones = aInput.mLoads.mByRemoteZone;
   const auto zone = zones.find(aUpstream.mUpstream.mAvailabilityZone);
   if (zone != zones.end() && IsSuspended(zone->second, aInput.mNow)) {
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -6,6 +6,7 @@
 #include "steering/evacuations.h"
 #include "steering/evenload.h"
 #include "steering/loadtable.h"
+#include "steering/outliers.h"
 
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
   ZonePosition mPosition;
   /// Expected share of the flows reported by peers that are still in progress.
   double mReportWeight = 1;
+  /// Upstreams that are ejected because they do not answer requests.
+  EjectionView mEjections = {};
 };
 
 /// Chosen upstream and the values that the choice was based on, for the event log.
--- a/src/libs/steering/flowload.cpp
+++ b/src/libs/steering/flowload.cpp
@@ -32,6 +32,7 @@
 ForgetSilentFlowsOf(ServiceRequests& aService,
                     LoadTable& aLoads,
                     FlowTable& aFlows,
+                    Outliers& aOutliers,
                     Base::TimePoint aNow)
 {
   const Base::Duration limit = SilenceLimit(aService);
@@ -42,6 +43,10 @@
     if (flow != aFlows.mFlows.end() && flow->second.mRequestAt == busy.front().mRequestAt) {
       RemoveFromLoad(aLoads, flow->second);
     }
+    if (flow != aFlows.mFlows.end() && flow->second.mAwaitsAnswerSince == busy.front().mRequestAt) {
+      RecordUnansweredRequest(aOutliers, flow->second.mTag, busy.front().mRequestAt, aNow);
+      flow->second.mAwaitsAnswerSince.reset();
+    }
     busy.pop_front();
   }
 }
@@ -91,6 +96,28 @@
   mean = mean == Base::Duration::zero() ? duration : mean + (duration - mean) / kMeanWeight;
 }
 
+void
+RecordData(Outliers& aOutliers, Flow& aFlow, uint32_t aSequence, Base::TimePoint aNow)
+{
+  const bool isCopy =
+    aFlow.mHasSentData && static_cast<int32_t>(aSequence - aFlow.mDataSequence) <= 0;
+  if (!aOutliers.mEnabled || isCopy) {
+    return;
+  }
+  RecordAnswerTo(aOutliers, aFlow, aNow);
+  aFlow.mAwaitsAnswerSince = aNow;
+  aFlow.mDataSequence = aSequence;
+}
+
+void
+RecordAnswerTo(Outliers& aOutliers, Flow& aFlow, Base::TimePoint aNow)
+{
+  if (aFlow.mAwaitsAnswerSince.has_value()) {
+    RecordAnsweredRequest(aOutliers, aFlow.mTag, *aFlow.mAwaitsAnswerSince, aNow);
+    aFlow.mAwaitsAnswerSince.reset();
+  }
+}
+
 Base::Duration
 MeanDuration(const RequestTable& aRequests, const std::string& aService)
 {
@@ -102,10 +129,12 @@
 ForgetSilentFlows(RequestTable& aRequests,
                   LoadTable& aLoads,
                   FlowTable& aFlows,
+                  Outliers& aOutliers,
                   Base::TimePoint aNow)
 {
+  RecordRunning(aOutliers, aNow);
   for (auto& [name, service] : aRequests) {
-    ForgetSilentFlowsOf(service, aLoads, aFlows, aNow);
+    ForgetSilentFlowsOf(service, aLoads, aFlows, aOutliers, aNow);
   }
 }
 
--- a/src/libs/steering/flowload.h
+++ b/src/libs/steering/flowload.h
@@ -2,6 +2,7 @@
 
 #include "steering/flowtable.h"
 #include "steering/loadtable.h"
+#include "steering/outliers.h"
 
 #include <deque>
 #include <string>
@@ -50,6 +51,15 @@
 void
 FinishRequest(RequestTable& aRequests, LoadTable& aLoads, Flow& aFlow, Base::TimePoint aNow);
 
+/// Records for outlier ejection that the caller sent a packet with data. If it begins a request,
+/// the answer to the previous one has arrived. To be called before mHasSentData is set.
+void
+RecordData(Outliers& aOutliers, Flow& aFlow, uint32_t aSequence, Base::TimePoint aNow);
+
+/// Records for outlier ejection that the answer to the flow's request has arrived.
+void
+RecordAnswerTo(Outliers& aOutliers, Flow& aFlow, Base::TimePoint aNow);
+
 /// \return the mean time from a request of the service to its answer, or 0 if it is not known.
 Base::Duration
 MeanDuration(const RequestTable& aRequests, const std::string& aService);
@@ -57,11 +67,12 @@
 /// Removes the flows from the load whose answer should have come long ago. The end of a request is
 /// not seen here if the upstream resets the flow, the caller gives up silently, or the caller does
 /// not acknowledge a short answer. Such flows must stop counting soon, or new flows avoid an idle
-/// upstream.
+/// upstream. Their requests are unanswered requests for outlier ejection.
 void
 ForgetSilentFlows(RequestTable& aRequests,
                   LoadTable& aLoads,
                   FlowTable& aFlows,
+                  Outliers& aOutliers,
                   Base::TimePoint aNow);
 
 } // namespace Steering
--- a/src/libs/steering/flowtable.h
+++ b/src/libs/steering/flowtable.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,12 @@
   bool mHasSentData = false;
   /// When the caller sent its latest request or completed the handshake.
   Base::TimePoint mRequestAt;
+  /// When the request began whose answer has not been seen yet, for outlier ejection.
+  std::optional<Base::TimePoint> mAwaitsAnswerSince;
+  /// Sequence number of the latest packet with data. A copy of it is no later request.
+  uint32_t mDataSequence = 0;
+  /// True if the requests of the flow's route can be repeated.
+  bool mIsRepeatable = false;
   std::vector<Directory::RouteTag> mTriedUpstreams;
   /// True if another instance may have forwarded an earlier copy of the opening packet.
   bool mTriedElsewhere = false;
--- a/src/libs/steering/loadreports.cpp
+++ b/src/libs/steering/loadreports.cpp
@@ -44,9 +44,13 @@
     if (aUpdate == LoadUpdate::Add) {
       load.mPeerFlows += reported.outstanding();
       load.mSuspendedByPeers += suspended;
+      load.mPeerAnswered += reported.answered_requests();
+      load.mPeerUnanswered += reported.unanswered_requests();
     } else {
       load.mPeerFlows -= reported.outstanding();
       load.mSuspendedByPeers -= suspended;
+      load.mPeerAnswered -= reported.answered_requests();
+      load.mPeerUnanswered -= reported.unanswered_requests();
     }
   }
 }
@@ -95,6 +99,25 @@
   return report;
 }
 
+void
+AddRequestCounts(const Outliers& aOutliers, Base::TimePoint aNow, lw::fleet::LoadReport& aReport)
+{
+  for (const auto& item : aOutliers.mByTag) {
+    const Directory::RouteTag tag = item.first;
+    const RequestCounts counts = RoundedCounts(item.second.mOwn, aNow);
+    if (counts.mUnanswered < 1) {
+      continue;
+    }
+    auto& loads = *aReport.mutable_loads();
+    const auto known = std::find_if(
+      loads.begin(), loads.end(), [&](const auto& aLoad) { return aLoad.tag() == tag.mValue; });
+    lw::fleet::UpstreamLoad* reported = known == loads.end() ? loads.Add() : &*known;
+    reported->set_tag(tag.mValue);
+    reported->set_answered_requests(static_cast<uint32_t>(counts.mAnswered));
+    reported->set_unanswered_requests(static_cast<uint32_t>(counts.mUnanswered));
+  }
+}
+
 uint64_t
 ApplyLoadReport(PeerReports& aReports,
                 LoadTable& aTable,
--- a/src/libs/steering/loadreports.h
+++ b/src/libs/steering/loadreports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/loadtable.h"
+#include "steering/outliers.h"
 
 #include "fleet.pb.h"
 
@@ -51,6 +52,11 @@
 lw::fleet::LoadReport
 MakeReport(const LoadTable& aTable, Base::TimePoint aNow);
 
+/// Adds the counts of this instance's requests to the report, for the upstreams with unanswered
+/// requests only, so that reports grow only while there is a fault.
+void
+AddRequestCounts(const Outliers& aOutliers, Base::TimePoint aNow, lw::fleet::LoadReport& aReport);
+
 /// Replaces the peer's previous report and updates the peer loads in aTable. Ignores the report if
 /// it is not newer than the previous one of the same incarnation.
 /// \return the number of the peer's reports that were missed just before this one, kAllReports if
--- a/src/libs/steering/loadtable.cpp
+++ b/src/libs/steering/loadtable.cpp
@@ -54,7 +54,9 @@
 {
   for (auto item = aTable.mByTag.begin(); item != aTable.mByTag.end();) {
     const Load& load = item->second;
-    const bool hasWork = load.mOwnFlows + load.mPeerFlows + load.mSuspendedByPeers > 0;
+    const bool isReported = load.mPeerFlows + load.mSuspendedByPeers > 0 ||
+                            load.mPeerAnswered > 0 || load.mPeerUnanswered > 0;
+    const bool hasWork = load.mOwnFlows > 0 || isReported;
     const Base::TimePoint used = std::max(load.mLastAnswerAt, load.mSuspendedUntil);
     item =
       !hasWork && aNow - used > kUnusedLoadLifetime ? aTable.mByTag.erase(item) : std::next(item);
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -18,6 +18,9 @@
   uint32_t mPeerFlows = 0;
   /// Number of peers that have suspended the upstream.
   uint32_t mSuspendedByPeers = 0;
+  /// Requests to the upstream that peers reported, for outlier ejection.
+  uint32_t mPeerAnswered = 0;
+  uint32_t mPeerUnanswered = 0;
   /// Consecutive suspensions by this instance since the last answer.
   uint32_t mSuspensions = 0;
   Base::TimePoint mSuspendedUntil;
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -233,6 +233,7 @@
   Flow flow;
   flow.mService = SelectService(route->second, aState.mRandom);
   flow.mRouteVersion = aState.mRoutes.mVersion;
+  flow.mIsRepeatable = route->second.mIsRepeatable;
   flow.mSequence = aPacket.mSequence;
   flow.mOpenedAt = aNow - aPacket.mAge - aPacket.mHeldFor;
   flow.mTriedElsewhere = aPacket.mAge > Base::Duration::zero();
--- a/src/libs/steering/routetable.cpp
+++ b/src/libs/steering/routetable.cpp
@@ -26,6 +26,8 @@
     }
     route.mLatencyObjective = std::chrono::milliseconds(declared.latency_objective_ms());
     route.mPriority = declared.priority();
+    route.mIsRepeatable =
+      declared.kind() == lw::config::IDEMPOTENT || declared.kind() == lw::config::DOWNLOAD;
     aTable.mRoutes[{ declared.address(), static_cast<uint16_t>(declared.port()) }] =
       std::move(route);
   }
--- a/src/libs/steering/routetable.h
+++ b/src/libs/steering/routetable.h
@@ -28,6 +28,8 @@
   Base::Duration mLatencyObjective{};
   /// 0 is the most urgent.
   uint32_t mPriority = 0;
+  /// True if the requests are idempotent or downloads, so that callers can repeat them.
+  bool mIsRepeatable = false;
 };
 
 /// Routes of the configuration in force at an entry instance. Its size is bounded by the
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -78,11 +78,14 @@
   const bool closesUnused = aPacket.mKind == PacketKind::Closing && !flow.mHasSentData;
   if (aPacket.mKind == PacketKind::Abort || closesUnused) {
     RemoveFromLoad(aState.mLoads, flow);
+    flow.mAwaitsAnswerSince.reset();
   } else if (aPacket.mCarriesData) {
+    RecordData(aState.mOutliers, flow, aPacket.mSequence, aNow);
     flow.mHasSentData = true;
     StartRequest(aState.mRequests, aState.mLoads, aPacket.mFlow, flow, aNow);
   } else if (flow.mHasSentData) {
     FinishRequest(aState.mRequests, aState.mLoads, flow, aNow);
+    RecordAnswerTo(aState.mOutliers, flow, aNow);
   }
   // If a second upstream answers a retransmitted opening packet late, the caller's packets carry
   // the second upstream's tag although the flow is open at the first one.
@@ -326,6 +329,7 @@
 MakePeerReport(State& aState, Base::TimePoint aNow)
 {
   lw::fleet::LoadReport report = MakeReport(aState.mLoads, aNow);
+  AddRequestCounts(aState.mOutliers, aNow, report);
   const size_t peers = aState.mInstances - 1;
   AddPendingPins(aState.mPins, report, peers, ReportInterval(aState.mInstances), aNow);
   if (!aState.mColdStarts.mRates.empty()) {
@@ -362,7 +366,7 @@
     const bool idle = flow.mConfirmed && !flow.mCountedInLoad && silence > kIdleRecordLifetime;
     item = idle || silence > kFlowRecordLifetime ? flows.erase(item) : std::next(item);
   }
-  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aState.mOutliers, aNow);
   ExpirePins(aState.mPins, aNow);
   for (const uint32_t lost : ExpireReports(aState.mReports, aState.mLoads, aNow)) {
     SchedulePinsOf(aState.mPins, lost, aNow);
--- a/src/libs/steering/steering.h
+++ b/src/libs/steering/steering.h
@@ -12,6 +12,7 @@
 #include "steering/loadreports.h"
 #include "steering/loadtable.h"
 #include "steering/openingqueue.h"
+#include "steering/outliers.h"
 #include "steering/routetable.h"
 
 #include <optional>
@@ -143,6 +144,7 @@
   RequestTable mRequests;
   LoadTable mLoads;
   PeerReports mReports;
+  Outliers mOutliers;
   std::unordered_map<std::string, OpeningQueue> mOpeningsByService;
   EarlyPackets mEarlyPackets;
   /// Entry instances of the availability zone, including this one.
