--- a/src/libs/steering/candidates.cpp
+++ b/src/libs/steering/candidates.cpp
@@ -46,6 +46,9 @@
   if (std::find(tried.begin(), tried.end(), upstream.mTag) != tried.end()) {
     return AlreadyTried;
   }
+  if (IsAvoided(aInput.mEjections, upstream.mTag, aInput.mNow)) {
+    return Unresponsive;
+  }
   const auto& zones = aInput.mLoads.mByRemoteZone;
   const auto zone = zones.find(upstream.mUpstream.mAvailabilityZone);
   if (zone != zones.end() && IsSuspended(zone->second, aInput.mNow)) {
