Switch outlier ejection on by setting, and log and count ejections

Cause: the decisions had no setting, and operators could not see them.

Change: the setting outlier_ejection of lw-platform-entry (default false) switches ejection on. The adapter sets it where the platform's list Contracts contains "health"; the template puts the list between brackets, so that an absent list renders to valid JSON and means false. Entry instances log upstream_ejected and upstream_restored and have the gauge upstreams_ejected and the counter ejections_total.

--- a/src/libs/fleet/entryevents.cpp
+++ b/src/libs/fleet/entryevents.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <chrono>
+#include <cmath>
 
 namespace Fleet {
 
@@ -77,4 +78,20 @@
   return line;
 }
 
+EventLog::Line
+OutlierLine(const Steering::OutlierChange& aChange)
+{
+  constexpr double kPermille = 1000;
+  EventLog::Line line(aChange.mIsEjected ? "upstream_ejected" : "upstream_restored");
+  line.Add("tag", aChange.mTag.mValue)
+    .Add("upstream", absl::StrCat(absl::Hex(aChange.mUpstream.mValue)))
+    .Add("answered", aChange.mAnswered)
+    .Add("unanswered", aChange.mUnanswered)
+    .Add("others_permille", std::llround(aChange.mShareOfOthers * kPermille));
+  if (aChange.mIsEjected) {
+    line.Add("for_ms", Milliseconds(aChange.mDuration));
+  }
+  return line;
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/entryevents.h
+++ b/src/libs/fleet/entryevents.h
@@ -28,4 +28,8 @@
 EventLog::Line
 PresenceLine(const lw::fleet::Presence& aPresence, const std::string& aControl);
 
+/// \return the line for an upstream whose ejection has begun or ended.
+EventLog::Line
+OutlierLine(const Steering::OutlierChange& aChange);
+
 } // namespace Fleet
--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -43,6 +43,8 @@
   , mColdLimitedCounter(aMetrics.CounterFor("cold_start_limited_total"))
   , mEvacuatedGauge(aMetrics.GaugeFor("zones_evacuated"))
   , mDivertedCounter(aMetrics.CounterFor("openings_diverted_total"))
+  , mEjectedGauge(aMetrics.GaugeFor("upstreams_ejected"))
+  , mEjectionsCounter(aMetrics.CounterFor("ejections_total"))
   , mHandshakeHistogram(aMetrics.HistogramFor("flow_open_ms"))
   , mEarlyHeldCounter(aMetrics.CounterFor("early_packets_held_total"))
   , mEarlyReleasedCounter(aMetrics.CounterFor("early_packets_released_total"))
@@ -60,6 +62,7 @@
   mState.mPins.mSelf = aSettings.mLoadReportListen.mAddress;
   mIncarnation = Base::NextRandom(mState.mRandom);
   mState.mInstance = mSettings.mLoadReportListen.mAddress;
+  mState.mOutliers.mEnabled = mSettings.mOutlierEjection;
   for (size_t i = 0; i < mDecisionCounters.size(); ++i) {
     const char* reason = Steering::ToString(static_cast<Steering::Reason>(i));
     mDecisionCounters[i] =
@@ -308,6 +311,7 @@
     }
     const Base::TimePoint now = Base::RuntimeClock::now();
     Steering::Expire(mState, now);
+    UpdateOutliers(now);
     ExpireEarlyPackets();
     Steering::UpdateColdStarts(mState, mSettings.mSteering, now);
     mEvents.Flush(now);
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -25,6 +25,8 @@
   Steering::Settings mSteering;
   PollerSettings mPoller;
   uint64_t mSeed = 0;
+  /// Ejects upstreams that do not answer requests.
+  bool mOutlierEjection = false;
 };
 
 /// Steers flows at an entry instance. Combines the state of the packet path, the poller of the
@@ -64,6 +66,8 @@
   void ReleaseOpenings();
   /// Logs the availability zones whose evacuation has begun or ended.
   void PublishEvacuations(const Steering::Evacuations& aPrevious, const std::string& aControl);
+  /// Ejects and restores upstreams, and publishes the changes.
+  void UpdateOutliers(Base::TimePoint aNow);
   /// Decides early packets again.
   void ReleaseEarlyPackets();
   void ExpireEarlyPackets();
@@ -84,6 +88,8 @@
   Metrics::Counter& mColdLimitedCounter;
   Metrics::Gauge& mEvacuatedGauge;
   Metrics::Counter& mDivertedCounter;
+  Metrics::Gauge& mEjectedGauge;
+  Metrics::Counter& mEjectionsCounter;
   Metrics::Histogram& mHandshakeHistogram;
   Metrics::Counter& mEarlyHeldCounter;
   Metrics::Counter& mEarlyReleasedCounter;
--- a/src/libs/settings/reader.cpp
+++ b/src/libs/settings/reader.cpp
@@ -226,6 +226,38 @@
   return strings;
 }
 
+std::set<std::string>
+Reader::OptionalStrings(const std::string& aKey)
+{
+  std::set<std::string> strings;
+  const nlohmann::json* value = Find(aKey, false);
+  if (value == nullptr || value->is_null()) {
+    return strings;
+  }
+  if (!value->is_array()) {
+    Fail(aKey, "must be an array or null");
+    return strings;
+  }
+  for (const nlohmann::json& item : *value) {
+    AddStrings(aKey, item.is_array() ? item : nlohmann::json::array({ item }), strings);
+  }
+  return strings;
+}
+
+void
+Reader::AddStrings(const std::string& aKey,
+                   const nlohmann::json& aArray,
+                   std::set<std::string>& aStrings)
+{
+  for (const nlohmann::json& item : aArray) {
+    if (item.is_string()) {
+      aStrings.insert(item.get<std::string>());
+    } else if (!item.is_null()) {
+      Fail(aKey, "must contain only strings");
+    }
+  }
+}
+
 std::vector<Base::Endpoint>
 Reader::Endpoints(const std::string& aKey)
 {
--- a/src/libs/settings/reader.h
+++ b/src/libs/settings/reader.h
@@ -53,6 +53,10 @@
   Base::Endpoint Endpoint(const std::string& aKey);
   std::vector<Base::Endpoint> Endpoints(const std::string& aKey);
   std::vector<std::string> Strings(const std::string& aKey);
+  /// \return the strings of an array and of arrays in it, or nothing if the setting is null or
+  /// missing. Skips null elements, so that a template may put a value that can be absent between
+  /// brackets.
+  std::set<std::string> OptionalStrings(const std::string& aKey);
   /// \return the keys of a JSON object, or std::nullopt if the setting is null or missing.
   std::optional<std::set<std::string>> OptionalKeys(const std::string& aKey);
   Reader Object(const std::string& aKey);
@@ -69,6 +73,9 @@
   Reader(std::shared_ptr<Document> aDocument, const nlohmann::json* aObject, std::string aPath);
   const nlohmann::json* Find(const std::string& aKey, bool aRequired);
   const nlohmann::json* FindArray(const std::string& aKey);
+  void AddStrings(const std::string& aKey,
+                  const nlohmann::json& aArray,
+                  std::set<std::string>& aStrings);
   int64_t CheckedInteger(const std::string& aKey, const nlohmann::json& aValue, Range aRange);
 
   std::shared_ptr<Document> mDocument;
--- a/tests/auto/platform/tst_platformsettings.cpp
+++ b/tests/auto/platform/tst_platformsettings.cpp
@@ -99,6 +99,38 @@
   }
 }
 
+// Guards against an entry instance that does not start, or that ejects upstreams unasked, with the
+// forms that the template has if the platform has no list, renders it as nothing or as null, or has
+// one.
+TEST(PlatformSettings, HealthContractSwitchesOutlierEjectionOn)
+{
+  const struct
+  {
+    const char* mContracts;
+    bool mOn;
+  } rows[] = { { "null", false },           { "[]", false },
+               { "[null]", false },         { "[[]]", false },
+               { R"([["other"]])", false }, { R"([["other","health"]])", true },
+               { R"(["health"])", true } };
+  Platform::EntrySettings absent;
+  CHECK_TRUE(ReadEntry(mEntry, absent).ok());
+  CHECK_FALSE(absent.mOutlierEjection);
+  for (const auto& row : rows) {
+    mEntry["contracts"] = nlohmann::json::parse(row.mContracts);
+    Platform::EntrySettings settings;
+    CHECK_TRUE_TEXT(ReadEntry(mEntry, settings).ok(), row.mContracts);
+    CHECK_TRUE_TEXT(row.mOn == settings.mOutlierEjection, row.mContracts);
+  }
+  mEntry["outlier_ejection"] = false;
+  Platform::EntrySettings off;
+  CHECK_TRUE(ReadEntry(mEntry, off).ok());
+  CHECK_FALSE(off.mOutlierEjection);
+  mEntry["contracts"] = "health";
+  CHECK_FALSE(ReadEntry(mEntry, off).ok());
+  mEntry["contracts"] = { 3 };
+  CHECK_FALSE(ReadEntry(mEntry, off).ok());
+}
+
 // Guards against invalid settings that are detected only when they are used.
 TEST(PlatformSettings, RejectsInvalidSettingsWithTheirKey)
 {
