--- a/tests/auto/fleet/tst_entrynode.cpp
+++ b/tests/auto/fleet/tst_entrynode.cpp
@@ -1,6 +1,7 @@
 #include "fleet/entrynode.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -209,7 +210,7 @@
   const std::string rest = R"(,"control":"127.0.0.1:0"})";
   for (const char* zone : { "zone-a", "zone-b" }) {
     const std::string line = R"("event":"zone_evacuated","availability_zone":")";
-    CHECK_TRUE(absl::StrContains(events, line + zone + R"(","revision":3)" + rest));
+    CHECK_TRUE(absl::StrContains(events, absl::StrCat(line, zone, R"(","revision":3)", rest)));
   }
   Evacuate(4, { "zone-b" });
   events = Events();
