--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -74,12 +74,11 @@
     return opened.status();
   }
   aNotices = std::move(opened->mNotices);
-  const Consensus::Snapshot& snapshot = opened->mRestored.mSnapshot;
-  if (snapshot.index() > 0) {
-    const absl::Status loaded = aPorts.mLoadState(snapshot.state());
-    if (!loaded.ok()) {
-      return loaded;
-    }
+  // Also without a snapshot: after a failed write the directory is opened again, and the entries
+  // must not be applied to a state that contains them already.
+  const absl::Status loaded = aPorts.mLoadState(opened->mRestored.mSnapshot.state());
+  if (!loaded.ok()) {
+    return loaded;
   }
   Replica replica;
   replica.mSettings = aSettings;
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -15,7 +15,8 @@
   std::function<void(const Consensus::Message&)> mSend;
   /// Applies a committed entry; called in log order.
   std::function<void(const Consensus::Entry&)> mApply;
-  /// Replaces the state machine with the state of a snapshot.
+  /// Replaces the state machine with the state of a snapshot, or with the initial state if aState
+  /// is empty.
   std::function<absl::Status(const std::string& aState)> mLoadState;
   std::function<std::string()> mSaveState;
   std::function<void(uint64_t aReadId, bool aConfirmed)> mFinishRead;
@@ -33,7 +34,8 @@
   ReplicaPorts mPorts;
 };
 
-/// Opens the data directory and loads the snapshot into the state machine.
+/// Opens the data directory and loads the snapshot, or the initial state if there is none, into the
+/// state machine.
 /// \param aNotices receives one line for each repair.
 /// \return the replica, or the error of the storage or of mLoadState.
 absl::StatusOr<Replica>
--- a/tests/auto/platform/tst_evacuationcalls.cpp
+++ b/tests/auto/platform/tst_evacuationcalls.cpp
@@ -10,12 +10,14 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -320,6 +322,30 @@
   }
 }
 
+// Guards against evacuations in the log that are applied a second time after a failed write, so
+// that the instance reports a higher revision than the others for good.
+TEST(EvacuationCalls, EvacuationsAreAppliedOnceAfterAFailedWrite)
+{
+  Instance& instance = StartOne();
+  instance.Serve();
+  LONGS_EQUAL(kOk, instance.Call("/v1/Evacuations.Begin/zone-b").mStatus);
+  LONGS_EQUAL(kOk, instance.Call("/v1/Evacuations.Finish/zone-b").mStatus);
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit limit{};
+  getrlimit(RLIMIT_FSIZE, &limit);
+  const rlimit full{ 0, limit.rlim_max };
+  setrlimit(RLIMIT_FSIZE, &full);
+  const int refused = instance.Call("/v1/Evacuations.Begin/zone-c").mStatus;
+  setrlimit(RLIMIT_FSIZE, &limit);
+  std::signal(SIGXFSZ, SIG_DFL);
+  CHECK_TRUE(refused != kOk);
+  CHECK_TRUE(
+    WaitUntil([&] { return instance.Call("/v1/Evacuations.Begin/zone-d").mStatus == kOk; }));
+  const lw::config::State state = instance.mStore.State();
+  LONGS_EQUAL(EvacuatedZones(instance) + 2, state.evacuations().revision());
+  LONGS_EQUAL(state.version(), state.evacuations().revision());
+}
+
 // Guards against an acknowledgement from a local store that lags behind a later change.
 TEST(EvacuationCalls, WithoutALeaderNothingIsAcknowledged)
 {
