Repeat interrupted calls of the poller

A signal that interrupts a call of the poller's thread ended the entry instance: the socket library reports EINTR as an exception, and nothing caught it.

The poller's loop now repeats what the interrupted iteration has not done.

--- a/src/libs/fleet/poller.cpp
+++ b/src/libs/fleet/poller.cpp
@@ -6,6 +6,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -72,9 +73,16 @@
 {
   while (!mStopping) {
     const Base::TimePoint now = Base::RuntimeClock::now();
-    UpdateTargets(now);
-    SendDuePolls(now);
-    WaitForReplies(now);
+    try {
+      UpdateTargets(now);
+      SendDuePolls(now);
+      WaitForReplies(now);
+    } catch (const zmq::error_t& error) {
+      // A signal has interrupted a call. The next iteration repeats what has not been done.
+      if (error.num() != EINTR) {
+        throw;
+      }
+    }
   }
   mTargets.clear();
 }
--- a/tests/auto/fleet/tst_poller.cpp
+++ b/tests/auto/fleet/tst_poller.cpp
@@ -6,8 +6,11 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <mutex>
 #include <set>
+#include <thread>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -117,6 +120,42 @@
   poller.Stop();
 }
 
+// Guards against a signal that interrupts the poller's thread and ends the process, for example
+// when the process continues after it was stopped.
+TEST(Poller, InterruptedCallsAreRepeated)
+{
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  Fleet::PollerSettings settings;
+  settings.mPollPort = listen.mPort;
+  settings.mInterval = settings.mStartInterval = std::chrono::milliseconds(50);
+  Fleet::Poller poller(settings,
+                       [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
+  poller.SetSeeds({ Base::InstanceId(kLoopback) });
+  struct sigaction handled
+  {};
+  handled.sa_handler = [](int) {};
+  struct sigaction previous
+  {};
+  sigaction(SIGUSR1, &handled, &previous);
+  poller.Start();
+  // The poller's thread is then the only one that takes the signal.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  constexpr int kSignals = 50;
+  for (int i = 0; i < kSignals; ++i) {
+    kill(getpid(), SIGUSR1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(3));
+  }
+  Fleet::PollServer server(mService, listen);
+  CHECK_TRUE(server.Start().ok());
+  CHECK_TRUE(WaitUntil([this] { return mReplies > 0; }));
+  poller.Stop();
+  sigaction(SIGUSR1, &previous, nullptr);
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 // Guards against a control instance that stops replying and is not reported as lost, or is not
 // polled again after it has recovered.
 TEST(Poller, LostAndRegainedControlInstancesAreReported)
