Add a command that explains the choice for a flow

Operators could see why a flow went to an upstream only afterwards, in the event log of the instance that decided. There was no way to ask where a flow would go now.

The decisions on opening packets are separated from their effects: the functions that decide take a const State and the random source as an argument (DecideNewFlow, DecideOpening, DecideAssignment, ChooseFor), and the packet path records what they return. Steering::Explain calls them 100 times with a copy of the random source and lists zones, candidates and room of the route's services. lw-platform-entry serves the result as JSON at GET /v1/explain, at most 5 times per second; lw-entry answers 404 and says which program serves it. "lwctl explain" prints it as a table or as JSON. The HTTP request of lw-burn moves to src/libs/program for both programs.

The limit on flows to other zones is part of the explanation: without it, a run on loopback showed candidates with the lowest cost and no draws.

--- a/src/libs/fleet/entrynode.cpp
+++ b/src/libs/fleet/entrynode.cpp
@@ -120,6 +120,13 @@
   return decision;
 }
 
+absl::StatusOr<std::string>
+EntryNode::Explain(absl::string_view aQuery)
+{
+  return ServeExplanation(
+    mState, mSettings.mSteering, mExplanationLimit, aQuery, Base::RuntimeClock::now());
+}
+
 void
 EntryNode::LogFirstForward(const Steering::Decision& aDecision)
 {
--- a/src/libs/fleet/entrynode.h
+++ b/src/libs/fleet/entrynode.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "eventlog/log.h"
+#include "fleet/explainservice.h"
 #include "fleet/poller.h"
 #include "metrics/registry.h"
 #include "steering/steering.h"
@@ -50,6 +51,10 @@
   /// was based on, except for packets that are just forwarded by their tag.
   Steering::Decision Steer(const Steering::Packet& aPacket);
 
+  /// Explains where a flow would go now. Changes no state of the packet path, no metric and no log.
+  /// \return JSON, or an error as ServeExplanation.
+  absl::StatusOr<std::string> Explain(absl::string_view aQuery);
+
   /// \return true if packets can be steered.
   bool IsReady() const { return Steering::IsReady(mState); }
 
@@ -91,6 +96,7 @@
   std::array<Metrics::Counter*, static_cast<size_t>(Steering::Reason::Malformed) + 1>
     mDecisionCounters{};
   Steering::State mState;
+  ExplanationLimit mExplanationLimit;
   Poller mPoller;
   boost::asio::ip::udp::socket mReportSocket;
   boost::asio::basic_waitable_timer<Base::RuntimeClock> mTimer;
--- a/src/libs/steering/assignment.cpp
+++ b/src/libs/steering/assignment.cpp
@@ -25,31 +25,41 @@
 
 } // namespace
 
+ChoiceInput
+MakeChoiceInput(const State& aState,
+                const Settings& aSettings,
+                const Flow& aFlow,
+                bool aIsLate,
+                Base::TimePoint aNow)
+{
+  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
+  const Base::Duration interval = ReportInterval(aState.mInstances);
+  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
+  return { aState.mDirectory,
+           aState.mLoads,
+           aState.mEvacuations,
+           aFlow.mService,
+           aSettings.mAvailabilityZone,
+           aFlow.mTriedUpstreams,
+           aSettings.mLease,
+           aNow,
+           aState.mInstances,
+           aIsLate,
+           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
+           position,
+           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
+}
+
 Choice
-ChooseFor(State& aState,
+ChooseFor(const State& aState,
           const Settings& aSettings,
           const Flow& aFlow,
           bool aIsLate,
-          Base::TimePoint aNow)
+          Base::TimePoint aNow,
+          Base::RandomSource& aRandom)
 {
-  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
-  const ZonePosition position = PositionOf(aState.mReports, aState.mInstance);
-  const Base::Duration interval = ReportInterval(aState.mInstances);
-  const Base::Duration mean = MeanDuration(aState.mRequests, aFlow.mService);
-  const ChoiceInput input{ aState.mDirectory,
-                           aState.mLoads,
-                           aState.mEvacuations,
-                           aFlow.mService,
-                           aSettings.mAvailabilityZone,
-                           aFlow.mTriedUpstreams,
-                           aSettings.mLease,
-                           aNow,
-                           aState.mInstances,
-                           aIsLate,
-                           aState.mColdStarts.mRates.empty() ? nullptr : &aState.mColdStarts,
-                           position,
-                           position.mInstances > 1 ? ReportWeight(interval, mean) : 1 };
-  Choice choice = ChooseUpstream(input, aState.mRandom);
+  const ChoiceInput input = MakeChoiceInput(aState, aSettings, aFlow, aIsLate, aNow);
+  Choice choice = ChooseUpstream(input, aRandom);
   choice.mIsDiverted = IsDiverted(aState, aSettings, aFlow.mService);
   return choice;
 }
@@ -61,12 +71,12 @@
 }
 
 Decision
-Assign(State& aState,
-       const Settings& aSettings,
-       Flow& aFlow,
-       const Choice& aChoice,
-       Reason aReason,
-       Base::TimePoint aNow)
+DecideAssignment(const State& aState,
+                 const Settings& aSettings,
+                 const Flow& aFlow,
+                 const Choice& aChoice,
+                 Reason aReason,
+                 Base::TimePoint aNow)
 {
   if (aChoice.mUpstream == nullptr) {
     // Before the directory is complete, an unknown upstream may be able to serve the flow.
@@ -76,25 +86,49 @@
     refusal.mIsDiverted = aChoice.mIsDiverted;
     return refusal;
   }
+  Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
+  decision.mCandidates = aChoice.mCandidates;
+  decision.mColdLimited = aChoice.mColdLimited;
+  decision.mOutstanding = aChoice.mOutstanding;
+  decision.mIsDiverted = aChoice.mIsDiverted;
+  return decision;
+}
+
+void
+RecordAssignment(State& aState,
+                 const Settings& aSettings,
+                 Flow& aFlow,
+                 const Directory::MergedUpstream& aUpstream,
+                 Base::TimePoint aNow)
+{
   RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mHeld = false;
-  aFlow.mTag = aChoice.mUpstream->mTag;
+  aFlow.mTag = aUpstream.mTag;
   if (std::find(aFlow.mTriedUpstreams.begin(), aFlow.mTriedUpstreams.end(), aFlow.mTag) ==
       aFlow.mTriedUpstreams.end()) {
     aFlow.mTriedUpstreams.push_back(aFlow.mTag);
   }
   aFlow.mForwardedAt = aNow;
   aFlow.mUnansweredRecorded = false;
-  const std::string& zone = aChoice.mUpstream->mUpstream.mAvailabilityZone;
+  const std::string& zone = aUpstream.mUpstream.mAvailabilityZone;
   aFlow.mRemoteZone = zone == aSettings.mAvailabilityZone ? std::string() : zone;
   AddToLoad(aState.mLoads, aFlow);
-  RecordOpening(aState.mColdStarts, *aChoice.mUpstream, aNow);
+  RecordOpening(aState.mColdStarts, aUpstream, aNow);
   aState.mLoads.mByTag[aFlow.mTag].mLastChosenAt = aNow;
-  Decision decision = ForwardTo(aState, *aChoice.mUpstream, aReason, aNow);
-  decision.mCandidates = aChoice.mCandidates;
-  decision.mColdLimited = aChoice.mColdLimited;
-  decision.mOutstanding = aChoice.mOutstanding;
-  decision.mIsDiverted = aChoice.mIsDiverted;
+}
+
+Decision
+Assign(State& aState,
+       const Settings& aSettings,
+       Flow& aFlow,
+       const Choice& aChoice,
+       Reason aReason,
+       Base::TimePoint aNow)
+{
+  const Decision decision = DecideAssignment(aState, aSettings, aFlow, aChoice, aReason, aNow);
+  if (aChoice.mUpstream != nullptr) {
+    RecordAssignment(aState, aSettings, aFlow, *aChoice.mUpstream, aNow);
+  }
   return decision;
 }
 
--- a/src/libs/steering/choice.cpp
+++ b/src/libs/steering/choice.cpp
@@ -91,16 +91,13 @@
 
 /// The load that other availability zones put on remote upstreams is not known here, so an instance
 /// gives them no more than its share of their slots.
-bool
-HasRemoteRoom(const ChoiceInput& aInput, const Candidates& aCandidates)
+/// \return the flows that this instance may have there in addition to those in its own zone.
+uint32_t
+RemoteLimit(const ChoiceInput& aInput, const Candidates& aCandidates)
 {
   const uint64_t local = aCandidates.mLocalLoad.mSlots;
   const uint64_t remote = aCandidates.mRemoteLoad.mSlots;
-  if (remote == 0) {
-    return false;
-  }
-  const uint32_t share = DivideRoundingUp(remote * local, (remote + local) * aInput.mInstances);
-  return aCandidates.mRemoteLoad.mOwnFlows < share;
+  return remote == 0 ? 0 : DivideRoundingUp(remote * local, (remote + local) * aInput.mInstances);
 }
 
 /// \return the local upstreams in an order that all instances agree on. A restarted upstream keeps
@@ -196,7 +193,9 @@
   if (hasRoom) {
     best = ChooseLocal(aInput, aCandidates, aRandom);
   }
-  if (onlyRemote ? hasRoom : HasRemoteRoom(aInput, aCandidates)) {
+  const uint32_t remoteFlows = aCandidates.mRemoteLoad.mOwnFlows;
+  const uint32_t remoteLimit = RemoteLimit(aInput, aCandidates);
+  if (onlyRemote ? hasRoom : remoteFlows < remoteLimit) {
     const int samples = onlyRemote ? kLocalSamples : kRemoteSamples;
     SampleCandidates(aInput, aCandidates.mRemote, samples, 0, aRandom, best);
   }
@@ -206,6 +205,8 @@
   choice.mPeerFlows = place.mPeerFlows;
   choice.mZoneLimit = std::max(kFlowsPerSharedSlot * place.mSlots, 1U);
   choice.mOwnLimit = OwnLimit(aInput, place);
+  choice.mRemoteFlows = remoteFlows;
+  choice.mRemoteLimit = remoteLimit;
   return choice;
 }
 
--- a/src/libs/steering/choice.h
+++ b/src/libs/steering/choice.h
@@ -55,6 +55,10 @@
   uint32_t mOwnLimit = 0;
   /// Flows that all instances of the zone together may have there if each uses its share.
   uint32_t mZoneLimit = 0;
+  /// Flows that this instance has at remote upstreams, and the number that it may have there while
+  /// there are responsive local ones. Otherwise, the values above apply to the remote upstreams.
+  uint32_t mRemoteFlows = 0;
+  uint32_t mRemoteLimit = 0;
   size_t mCandidates = 0;
   /// Cold upstreams that were excluded because this instance may not send to them now.
   size_t mColdLimited = 0;
--- a/src/libs/steering/openingrelease.cpp
+++ b/src/libs/steering/openingrelease.cpp
@@ -18,7 +18,8 @@
             bool aIsLate,
             Base::TimePoint aNow)
 {
-  const Choice choice = ChooseFor(aState, aSettings, aFlow, aIsLate, aNow);
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  const Choice choice = ChooseFor(aState, aSettings, aFlow, aIsLate, aNow, aState.mRandom);
   if (choice.mSaturated) {
     return std::nullopt;
   }
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -139,45 +139,40 @@
   return std::chrono::duration_cast<Base::Duration>(wait);
 }
 
-/// Puts the opening packet into the queue of its service, unless its turn would come only after the
-/// caller has ended the attempt, even if the other instances used none of the upstreams.
+/// \return the decision on an opening packet that can't be forwarded now: it waits, unless its turn
+/// would come only after the caller has ended the attempt, even if the other instances used none of
+/// the upstreams.
 Decision
-HoldOpening(State& aState,
-            const Settings& aSettings,
-            Flow& aFlow,
-            HeldOpening aOpening,
-            const Choice& aChoice,
-            Base::TimePoint aNow)
+DecideHold(const State& aState,
+           const Settings& aSettings,
+           const Flow& aFlow,
+           const OpeningOutcome& aOutcome,
+           size_t aFlowsAhead,
+           size_t aQueueSize,
+           Base::TimePoint aNow)
 {
-  OpeningQueue& queue = aState.mOpeningsByService[aFlow.mService];
-  const Base::Duration wait =
-    ExpectedWait(aState, aFlow, CountAhead(queue, aOpening, aNow), aChoice, aNow);
-  if (aNow + wait > aOpening.mSentAt + aSettings.mOpeningLifetime ||
-      Size(queue) >= kMaxHeldOpenings) {
-    return RefuseSaturated(ActionForUnserved(aFlow), Reason::Overloaded, aChoice);
+  const Base::Duration wait = ExpectedWait(aState, aFlow, aFlowsAhead, aOutcome.mChoice, aNow);
+  if (aNow + wait > aOutcome.mOpening.mSentAt + aSettings.mOpeningLifetime ||
+      aQueueSize >= kMaxHeldOpenings) {
+    return RefuseSaturated(ActionForUnserved(aFlow), Reason::Overloaded, aOutcome.mChoice);
   }
-  aFlow.mHeld = true;
-  Hold(queue, std::move(aOpening));
-  return RefuseSaturated(Action::Hold, Reason::Saturated, aChoice);
+  return RefuseSaturated(Action::Hold, Reason::Saturated, aOutcome.mChoice);
 }
 
 Decision
 AssignOrHold(State& aState,
              const Settings& aSettings,
              Flow& aFlow,
-             const Packet& aPacket,
-             Reason aReason,
+             OpeningOutcome aOutcome,
              Base::TimePoint aNow)
 {
-  HeldOpening opening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
-  const Choice choice = ChooseFor(aState, aSettings, aFlow, aNow > opening.mUsefulUntil, aNow);
-  // A packet must not overtake held ones that go before it.
-  const auto queue = aState.mOpeningsByService.find(aFlow.mService);
-  const bool mustWait =
-    queue != aState.mOpeningsByService.end() && CountAhead(queue->second, opening, aNow) > 0;
-  return choice.mSaturated || (mustWait && choice.mOwnLimit > 0)
-           ? HoldOpening(aState, aSettings, aFlow, std::move(opening), choice, aNow)
-           : Assign(aState, aSettings, aFlow, choice, aReason, aNow);
+  if (aOutcome.mDecision.mAction == Action::Forward) {
+    RecordAssignment(aState, aSettings, aFlow, *aOutcome.mChoice.mUpstream, aNow);
+  } else if (aOutcome.mDecision.mAction == Action::Hold) {
+    aFlow.mHeld = true;
+    Hold(aState.mOpeningsByService[aFlow.mService], std::move(aOutcome.mOpening));
+  }
+  return aOutcome.mDecision;
 }
 
 Decision
@@ -205,11 +200,80 @@
     return Refuse(Action::Hold, Reason::Saturated);
   }
   RecordUnansweredOpening(aState, aFlow, aNow);
-  return AssignOrHold(aState, aSettings, aFlow, aPacket, Reason::RepeatedOpening, aNow);
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  OpeningOutcome outcome =
+    DecideOpening(aState, aSettings, aFlow, aPacket, Reason::RepeatedOpening, aNow, aState.mRandom);
+  return AssignOrHold(aState, aSettings, aFlow, std::move(outcome), aNow);
 }
 
 } // namespace
 
+OpeningOutcome
+DecideOpening(const State& aState,
+              const Settings& aSettings,
+              const Flow& aFlow,
+              const Packet& aPacket,
+              Reason aReason,
+              Base::TimePoint aNow,
+              Base::RandomSource& aRandom)
+{
+  OpeningOutcome outcome;
+  outcome.mOpening = MakeHeldOpening(aState, aSettings, aFlow, aPacket);
+  const bool late = aNow > outcome.mOpening.mUsefulUntil;
+  outcome.mChoice = ChooseFor(aState, aSettings, aFlow, late, aNow, aRandom);
+  const auto queue = aState.mOpeningsByService.find(aFlow.mService);
+  const bool queued = queue != aState.mOpeningsByService.end();
+  const size_t ahead = queued ? CountAhead(queue->second, outcome.mOpening, aNow) : 0;
+  // A packet must not overtake held ones that go before it.
+  const bool mustWait = ahead > 0 && outcome.mChoice.mOwnLimit > 0;
+  const size_t size = queued ? Size(queue->second) : 0;
+  outcome.mDecision =
+    outcome.mChoice.mSaturated || mustWait
+      ? DecideHold(aState, aSettings, aFlow, outcome, ahead, size, aNow)
+      : DecideAssignment(aState, aSettings, aFlow, outcome.mChoice, aReason, aNow);
+  return outcome;
+}
+
+std::optional<Decision>
+DecideWithoutRoute(const State& aState,
+                   const Settings& aSettings,
+                   const Base::Endpoint& aService,
+                   Base::TimePoint aNow)
+{
+  if (aState.mRoutes.mVersion == 0) {
+    return Refuse(Action::Hold, Reason::NotStarted);
+  }
+  if (aState.mRoutes.mRoutes.count(aService) == 0) {
+    const bool fresh = aNow - aState.mConnectedAt < aSettings.mMaxConfigAge;
+    return Refuse(fresh ? Action::Reset : Action::Drop, Reason::NoRoute);
+  }
+  return std::nullopt;
+}
+
+NewFlowOutcome
+DecideNewFlow(const State& aState,
+              const Settings& aSettings,
+              const Packet& aPacket,
+              Base::TimePoint aNow,
+              Base::RandomSource& aRandom)
+{
+  NewFlowOutcome outcome;
+  Flow& flow = outcome.mFlow;
+  flow.mService = SelectService(aState.mRoutes.mRoutes.at(aPacket.mFlow.mService), aRandom);
+  flow.mRouteVersion = aState.mRoutes.mVersion;
+  flow.mSequence = aPacket.mSequence;
+  flow.mOpenedAt = aNow - aPacket.mAge - aPacket.mHeldFor;
+  flow.mTriedElsewhere = aPacket.mAge > Base::Duration::zero();
+  flow.mLastPacketAt = aNow;
+  outcome.mOpening =
+    DecideOpening(aState, aSettings, flow, aPacket, Reason::NewFlow, aNow, aRandom);
+  Decision& decision = outcome.mOpening.mDecision;
+  if (decision.mReason == Reason::NoUpstream && decision.mAction == Action::Drop) {
+    decision = Refuse(Action::Hold, Reason::NoUpstream);
+  }
+  return outcome;
+}
+
 Decision
 SteerOpening(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow)
 {
@@ -222,25 +286,20 @@
     RemoveFromLoad(aState.mLoads, known->second);
     aState.mFlows.mFlows.erase(known);
   }
-  if (aState.mRoutes.mVersion == 0) {
-    return HoldUndecided(aState, aSettings, aPacket, Reason::NotStarted, aNow);
+  const std::optional<Decision> refusal =
+    DecideWithoutRoute(aState, aSettings, aPacket.mFlow.mService, aNow);
+  if (refusal.has_value()) {
+    return IsHeldEarly(*refusal) ? HoldUndecided(aState, aSettings, aPacket, refusal->mReason, aNow)
+                                 : *refusal;
   }
-  const auto route = aState.mRoutes.mRoutes.find(aPacket.mFlow.mService);
-  if (route == aState.mRoutes.mRoutes.end()) {
-    const bool fresh = aNow - aState.mConnectedAt < aSettings.mMaxConfigAge;
-    return Refuse(fresh ? Action::Reset : Action::Drop, Reason::NoRoute);
-  }
-  Flow flow;
-  flow.mService = SelectService(route->second, aState.mRandom);
-  flow.mRouteVersion = aState.mRoutes.mVersion;
-  flow.mSequence = aPacket.mSequence;
-  flow.mOpenedAt = aNow - aPacket.mAge - aPacket.mHeldFor;
-  flow.mTriedElsewhere = aPacket.mAge > Base::Duration::zero();
-  flow.mLastPacketAt = aNow;
-  const Decision decision = AssignOrHold(aState, aSettings, flow, aPacket, Reason::NewFlow, aNow);
-  if (decision.mReason == Reason::NoUpstream && decision.mAction == Action::Drop) {
-    return HoldUndecided(aState, aSettings, aPacket, Reason::NoUpstream, aNow);
+  ForgetSilentFlows(aState.mRequests, aState.mLoads, aState.mFlows, aNow);
+  NewFlowOutcome outcome = DecideNewFlow(aState, aSettings, aPacket, aNow, aState.mRandom);
+  if (IsHeldEarly(outcome.mOpening.mDecision)) {
+    return HoldUndecided(aState, aSettings, aPacket, outcome.mOpening.mDecision.mReason, aNow);
   }
+  Flow& flow = outcome.mFlow;
+  const Decision decision =
+    AssignOrHold(aState, aSettings, flow, std::move(outcome.mOpening), aNow);
   if (decision.mAction == Action::Forward || decision.mAction == Action::Hold) {
     if (aState.mFlows.mFlows.size() < kMaxFlows) {
       aState.mFlows.mFlows.emplace(aPacket.mFlow, std::move(flow));
--- a/src/libs/steering/openings.h
+++ b/src/libs/steering/openings.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "steering/choice.h"
+#include "steering/openingqueue.h"
 #include "steering/steering.h"
 
+#include <optional>
+
 namespace Steering::Internal {
 
 Decision
@@ -32,6 +36,54 @@
               Reason aReason,
               Base::TimePoint aNow);
 
+/// Decision on an opening packet that has a route, and what to record if it is carried out.
+struct OpeningOutcome
+{
+  Decision mDecision;
+  Choice mChoice;
+  /// Goes into the queue of the service if the packet waits for room.
+  HeldOpening mOpening;
+};
+
+/// The same for the opening packet of a flow without a record. If IsHeldEarly is true for the
+/// decision, the flow is not recorded.
+struct NewFlowOutcome
+{
+  Flow mFlow;
+  OpeningOutcome mOpening;
+};
+
+/// Decides on an opening packet of the flow. Does not change the state.
+OpeningOutcome
+DecideOpening(const State& aState,
+              const Settings& aSettings,
+              const Flow& aFlow,
+              const Packet& aPacket,
+              Reason aReason,
+              Base::TimePoint aNow,
+              Base::RandomSource& aRandom);
+
+/// \return the decision on the opening packet of a new flow to an address without a route, or
+/// std::nullopt if there is a route.
+std::optional<Decision>
+DecideWithoutRoute(const State& aState,
+                   const Settings& aSettings,
+                   const Base::Endpoint& aService,
+                   Base::TimePoint aNow);
+
+/// Decides on the opening packet of a new flow. Does not change the state. There must be a route.
+NewFlowOutcome
+DecideNewFlow(const State& aState,
+              const Settings& aSettings,
+              const Packet& aPacket,
+              Base::TimePoint aNow,
+              Base::RandomSource& aRandom);
+
+/// \return the tag of the upstream that a packet of an open flow goes to: that of the flow's record
+/// or pin, or else the packet's own one.
+Directory::RouteTag
+CurrentTag(const State& aState, const Packet& aPacket);
+
 /// Assigns a new flow to an upstream, or one whose earlier opening packet was not answered.
 Decision
 SteerOpening(State& aState, const Settings& aSettings, const Packet& aPacket, Base::TimePoint aNow);
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -107,9 +107,11 @@
   return address.mPort == 0 || address == aUpstream.mUpstream.mAddress;
 }
 
-/// \return the tag that UpdateFlow would return for the packet.
+} // namespace
+
+/// The same tag as UpdateFlow returns for the packet.
 Directory::RouteTag
-CurrentTag(const State& aState, const Packet& aPacket)
+Internal::CurrentTag(const State& aState, const Packet& aPacket)
 {
   const auto found = aState.mFlows.mFlows.find(aPacket.mFlow);
   const bool keepsTag = found != aState.mFlows.mFlows.end() &&
@@ -119,6 +121,8 @@
            : PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).value_or(aPacket.mTag);
 }
 
+namespace {
+
 /// \return true if an upstream that is not in the directory may be alive. With a complete
 /// directory, this is the case only while connected control instances have not replied for some
 /// poll intervals, so that packets with invalid tags are not held in normal operation.
--- a/src/tools/burn/countersource.cpp
+++ b/src/tools/burn/countersource.cpp
@@ -1,11 +1,8 @@
 #include "burn/countersource.h"
 
-#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "program/httpget.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
-#include <array>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -15,55 +12,22 @@
 namespace {
 
 constexpr auto kTimeout = std::chrono::seconds(2);
-constexpr size_t kMaxResponseBytes = 8U << 20U;
-
-absl::Status
-Unavailable(const Base::Endpoint& aEndpoint, const std::string& aReason)
-{
-  return absl::UnavailableError(absl::StrCat(Base::ToString(aEndpoint), ": ", aReason));
-}
-
-std::string
-ReadUpTo(std::istream& aStream, size_t aLimit)
-{
-  std::string text;
-  std::array<char, 16384> buffer{};
-  while (text.size() <= aLimit && aStream) {
-    aStream.read(buffer.data(), buffer.size());
-    text.append(buffer.data(), static_cast<size_t>(aStream.gcount()));
-  }
-  return text;
-}
+constexpr int kHttpOk = 200;
 
 } // namespace
 
 absl::StatusOr<std::string>
 FetchCounters(const Base::Endpoint& aEndpoint)
 {
-  using Tcp = boost::asio::ip::tcp;
-  Tcp::iostream stream;
-  stream.expires_after(kTimeout);
-  stream.connect(Tcp::endpoint(boost::asio::ip::address_v4(aEndpoint.mAddress), aEndpoint.mPort));
-  if (!stream) {
-    return Unavailable(aEndpoint, stream.error().message());
-  }
-  // HTTP/1.0 excludes chunked responses.
-  stream << "GET /metrics HTTP/1.0\r\nHost: " << Base::ToString(aEndpoint) << "\r\n\r\n"
-         << std::flush;
-  const std::string response = ReadUpTo(stream, kMaxResponseBytes);
-  if (response.size() > kMaxResponseBytes) {
-    return Unavailable(aEndpoint, "the response is longer than 8 MiB");
-  }
-  if (stream.error() && stream.error() != boost::asio::error::eof) {
-    return Unavailable(aEndpoint, stream.error().message());
+  absl::StatusOr<Program::HttpReply> reply = Program::HttpGet(aEndpoint, "/metrics", kTimeout);
+  if (!reply.ok()) {
+    return reply.status();
   }
-  const size_t headerEnd = response.find("\r\n\r\n");
-  const std::string status = response.substr(0, response.find("\r\n"));
-  if (headerEnd == std::string::npos || !absl::StartsWith(status, "HTTP/1.") ||
-      !absl::StrContains(status, " 200")) {
-    return Unavailable(aEndpoint, "no HTTP response with status 200");
+  if (reply->mStatus != kHttpOk) {
+    return absl::UnavailableError(
+      absl::StrCat(Base::ToString(aEndpoint), ": no HTTP response with status 200"));
   }
-  return response.substr(headerEnd + 4);
+  return std::move(reply->mBody);
 }
 
 absl::StatusOr<std::string>
--- a/src/tools/entry/metricsserver.cpp
+++ b/src/tools/entry/metricsserver.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace Entry {
@@ -44,13 +45,22 @@
   }
 
 private:
+  std::string NotFoundText() const
+  {
+    const std::string target(mRequest.target());
+    // This instance dispatches requests and steers no flows that could be explained.
+    return target.substr(0, target.find('?')) == "/v1/explain"
+             ? "only lw-platform-entry serves /v1/explain\n"
+             : "only GET /metrics is served\n";
+  }
+
   void Answer()
   {
     const bool isMetrics = mRequest.method() == http::verb::get && mRequest.target() == "/metrics";
     mResponse.result(isMetrics ? http::status::ok : http::status::not_found);
     mResponse.set(http::field::content_type, "text/plain; version=0.0.4");
     mResponse.keep_alive(false);
-    mResponse.body() = isMetrics ? mMetrics.PrometheusText() : "only GET /metrics is served\n";
+    mResponse.body() = isMetrics ? mMetrics.PrometheusText() : NotFoundText();
     mResponse.prepare_payload();
     http::async_write(mStream,
                       mResponse,
--- a/src/tools/lwctl/commands.cpp
+++ b/src/tools/lwctl/commands.cpp
@@ -196,6 +196,21 @@
   return status.ok() ? Print(aOptions, *status, StatusTable(*status)) : Fail(status.status());
 }
 
+int
+RunExplain(const Options& aOptions, const Arguments& aArguments)
+{
+  if (aArguments.size() != 1) {
+    return Fail(absl::InvalidArgumentError("explain takes only flags"));
+  }
+  const absl::StatusOr<std::string> text =
+    Explain(aOptions.mExplain, aOptions.mJson, aOptions.mClient.mTimeout);
+  if (!text.ok()) {
+    return Fail(text.status());
+  }
+  std::cout << *text << std::flush;
+  return Program::kExitOk;
+}
+
 bool
 IsInForceEverywhere(const lw::operator_api::StatusReply& aStatus, uint64_t aVersion)
 {
@@ -235,9 +250,10 @@
   static const std::map<std::string, Command> sCommands{
     { "apply", RunApply },       { "delete", RunDelete },
     { "evacuate", RunEvacuate }, { "evacuations", RunEvacuations },
-    { "get", RunGet },           { "history", RunHistory },
-    { "list", RunList },         { "readmit", RunReadmit },
-    { "status", RunStatus },     { "wait", RunWait },
+    { "explain", RunExplain },   { "get", RunGet },
+    { "history", RunHistory },   { "list", RunList },
+    { "readmit", RunReadmit },   { "status", RunStatus },
+    { "wait", RunWait },
   };
   return sCommands;
 }
@@ -264,13 +280,16 @@
          "  evacuate ZONE  sends no more new flows to the upstreams of an availability zone\n"
          "  readmit ZONE   ends the evacuation of an availability zone\n"
          "  evacuations    prints the evacuated availability zones\n"
+         "  explain        prints where an entry instance would send a flow now, and why\n"
+         "                 (--entry=ADDRESS:PORT --caller=ADDRESS:PORT --service=ADDRESS:PORT)\n"
          "  get NAME       prints a service\n"
          "  list           prints all services\n"
          "  history        prints the accepted changes that are still stored\n"
          "  status         prints the version in force on each instance\n"
          "  wait VERSION   waits until the version is in force everywhere\n"
          "Exit codes: 0 done, 1 refused, 2 bad input, 3 conflict with another change,\n"
-         "4 no control instance answered (run it again with the same --request_number),\n"
+         "4 no control instance answered (run it again with the same --request_number), or the\n"
+         "entry instance did not explain,\n"
          "5 not in force within --timeout_ms.";
 }
 
--- a/src/tools/lwctl/commands.h
+++ b/src/tools/lwctl/commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controlclient.h"
+#include "lwctl/explain.h"
 
 #include <string>
 #include <vector>
@@ -22,6 +23,8 @@
   uint64_t mRequestNumber = 0;
   /// A negative value selects the current version.
   int64_t mBaseVersion = -1;
+  /// Entry instance and flow of the command explain, as given on the command line.
+  ExplainArguments mExplain;
 };
 
 /// Runs one command and prints its result.
--- a/src/tools/lwctl/main.cpp
+++ b/src/tools/lwctl/main.cpp
@@ -9,6 +9,12 @@
           control,
           { "127.0.0.1:7400" },
           "operator addresses of the control instances, separated by commas");
+ABSL_FLAG(std::string,
+          entry,
+          "",
+          "explain: address and metrics port of the lw-platform-entry instance");
+ABSL_FLAG(std::string, caller, "", "explain: address and port of the caller");
+ABSL_FLAG(std::string, service, "", "explain: address and port that the caller connects to");
 ABSL_FLAG(std::string, format, "table", "table or json");
 ABSL_FLAG(std::string, operator_id, "lwctl", "name of the operator in the history");
 ABSL_FLAG(uint64_t,
@@ -40,5 +46,8 @@
   options.mOperatorId = absl::GetFlag(FLAGS_operator_id);
   options.mRequestNumber = absl::GetFlag(FLAGS_request_number);
   options.mBaseVersion = absl::GetFlag(FLAGS_base_version);
+  options.mExplain = { absl::GetFlag(FLAGS_entry),
+                       absl::GetFlag(FLAGS_caller),
+                       absl::GetFlag(FLAGS_service) };
   return Lwctl::RunCommand(options, arguments);
 }
--- a/tests/auto/platform/tst_httpserver.cpp
+++ b/tests/auto/platform/tst_httpserver.cpp
@@ -29,15 +29,16 @@
 
 } // namespace
 
-// Runs a server in its own thread that echoes the body of each request.
+// Runs a server in its own thread that echoes the body, path and query of each request.
 TEST_GROUP(HttpServer)
 {
   asio::io_context mContext;
-  Platform::HttpServer mServer{ mContext,
-                                [](const Platform::HttpRequest& aRequest,
-                                   const Platform::ResponseCallback& aRespond) {
-                                  aRespond({ 200, aRequest.mBody });
-                                } };
+  Platform::HttpServer mServer{
+    mContext,
+    [](const Platform::HttpRequest& aRequest, const Platform::ResponseCallback& aRespond) {
+      aRespond({ 200, aRequest.mBody + aRequest.mPath + "|" + aRequest.mQuery });
+    }
+  };
   std::thread mThread;
 
   void setup() override
@@ -75,6 +76,28 @@
   STRCMP_CONTAINS("\r\n\r\nbody", response.c_str());
 }
 
+// Guards against a query that is lost or counts as part of the path.
+TEST(HttpServer, SeparatesThePathFromTheQuery)
+{
+  const struct
+  {
+    const char* mTarget;
+    const char* mEchoed;
+  } rows[] = {
+    { "/x", "\r\n\r\n/x|" },
+    { "/x?", "\r\n\r\n/x|" },
+    { "/x?a=1&b=2?c", "\r\n\r\n/x|a=1&b=2?c" },
+  };
+  for (const auto& row : rows) {
+    const std::string response =
+      Exchange(std::string("GET ") + row.mTarget + " HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK_TRUE_TEXT(response.size() >= std::string(row.mEchoed).size() &&
+                      response.substr(response.size() - std::string(row.mEchoed).size()) ==
+                        row.mEchoed,
+                    row.mTarget);
+  }
+}
+
 // Guards against handlers that take a call for current although its requester has given up, and
 // against calls of waiting requesters that count as given up.
 TEST(HttpServer, TellsWhetherTheRequesterClosedTheConnection)
--- a/tests/programs/test_entry.py
+++ b/tests/programs/test_entry.py
@@ -1,4 +1,4 @@
-"""Tests the lw-entry program: settings errors, malformed datagrams and graceful shutdown."""
+"""Tests the lw-entry program: settings errors, malformed datagrams, unknown paths and graceful shutdown."""
 
 import json
 import os
@@ -10,6 +10,7 @@
 import tempfile
 import time
 import unittest
+import urllib.error
 import urllib.request
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
@@ -109,6 +110,22 @@
         self.assertIsNone(entry.popen.poll())
         self.assertEqual(0, entry.terminate())
 
+    # Guards against a 404 for the explanation of a choice that does not tell which program serves it.
+    def test_explanations_are_refused_with_a_reason(self):
+        (entry,) = self.system.start_entries()
+        self.wait_for_metrics()
+        listen = self.settings["metrics_listen"]
+        for path, text in (
+            ("/v1/explain?caller=127.0.0.1:1&service=127.0.0.1:2", "only lw-platform-entry serves /v1/explain"),
+            ("/v1/explainer", "only GET /metrics is served"),
+        ):
+            with self.subTest(path=path), self.assertRaises(urllib.error.HTTPError) as caught:
+                urllib.request.urlopen(f"http://{listen}{path}", timeout=5)
+            with caught.exception as error:
+                self.assertEqual(404, error.code)
+                self.assertIn(text, error.read().decode())
+        self.assertEqual(0, entry.terminate())
+
 
 if __name__ == "__main__":
     unittest.main()
