Rename the function that carries out an assignment

The decision on outliers has a function RecordAssignment too. ApplyAssignment tells the change of the state apart from the evidence about an upstream.

--- a/src/libs/steering/assignment.cpp
+++ b/src/libs/steering/assignment.cpp
@@ -90,11 +90,11 @@
 }
 
 void
-RecordAssignment(State& aState,
-                 const Settings& aSettings,
-                 Flow& aFlow,
-                 const Directory::MergedUpstream& aUpstream,
-                 Base::TimePoint aNow)
+ApplyAssignment(State& aState,
+                const Settings& aSettings,
+                Flow& aFlow,
+                const Directory::MergedUpstream& aUpstream,
+                Base::TimePoint aNow)
 {
   RemoveFromLoad(aState.mLoads, aFlow);
   aFlow.mHeld = false;
@@ -122,7 +122,7 @@
 {
   const Decision decision = DecideAssignment(aState, aSettings, aFlow, aChoice, aReason, aNow);
   if (aChoice.mUpstream != nullptr) {
-    RecordAssignment(aState, aSettings, aFlow, *aChoice.mUpstream, aNow);
+    ApplyAssignment(aState, aSettings, aFlow, *aChoice.mUpstream, aNow);
   }
   return decision;
 }
--- a/src/libs/steering/assignment.h
+++ b/src/libs/steering/assignment.h
@@ -38,13 +38,13 @@
                  Reason aReason,
                  Base::TimePoint aNow);
 
-/// Records that the flow's opening packet is forwarded to the upstream.
+/// Updates the state for a flow whose opening packet is forwarded to the upstream.
 void
-RecordAssignment(State& aState,
-                 const Settings& aSettings,
-                 Flow& aFlow,
-                 const Directory::MergedUpstream& aUpstream,
-                 Base::TimePoint aNow);
+ApplyAssignment(State& aState,
+                const Settings& aSettings,
+                Flow& aFlow,
+                const Directory::MergedUpstream& aUpstream,
+                Base::TimePoint aNow);
 
 /// Assigns the flow to the chosen upstream, if there is one.
 Decision
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -167,7 +167,7 @@
              Base::TimePoint aNow)
 {
   if (aOutcome.mDecision.mAction == Action::Forward) {
-    RecordAssignment(aState, aSettings, aFlow, *aOutcome.mChoice.mUpstream, aNow);
+    ApplyAssignment(aState, aSettings, aFlow, *aOutcome.mChoice.mUpstream, aNow);
   } else if (aOutcome.mDecision.mAction == Action::Hold) {
     aFlow.mHeld = true;
     Hold(aState.mOpeningsByService[aFlow.mService], std::move(aOutcome.mOpening));
