Continue after signals that interrupt the threads of control instances

A signal that interrupts zmq::poll ended a control instance: the exception for EINTR left the thread of the log, of the poll server or of the feed.

Base::PollSockets returns without events then, and the loops continue.

Evidence: Poller InterruptedServerContinues ends the test program with "Interrupted system call" if the server calls zmq::poll itself. The threads of the log and of the feed have no test of their own.

--- a/src/libs/control/logdriver.cpp
+++ b/src/libs/control/logdriver.cpp
@@ -1,6 +1,7 @@
 #include "control/logdriver.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/zmqpoll.h"
 #include "config/validation.h"
 
 #include <glog/logging.h>
@@ -180,7 +181,7 @@
     { nullptr, mQueue.Descriptor(), ZMQ_POLLIN, 0 },
   };
   const auto left = std::chrono::duration_cast<milliseconds>(mNextTick - Base::RuntimeClock::now());
-  zmq::poll(items, 2, std::max(left, milliseconds(0)));
+  Base::PollSockets(items, 2, std::max(left, milliseconds(0)));
 }
 
 void
--- a/src/libs/fleet/pollserver.cpp
+++ b/src/libs/fleet/pollserver.cpp
@@ -1,6 +1,7 @@
 #include "fleet/pollserver.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/zmqpoll.h"
 
 #include <glog/logging.h>
 #include <zmq_addon.hpp>
@@ -61,7 +62,7 @@
 {
   while (!mStopping) {
     zmq::pollitem_t items[] = { { mSocket.handle(), 0, ZMQ_POLLIN, 0 } };
-    zmq::poll(items, 1, kStopCheckInterval);
+    Base::PollSockets(items, 1, kStopCheckInterval);
     if ((items[0].revents & ZMQ_POLLIN) != 0) {
       AnswerPolls();
     }
--- a/src/tools/control/feedserver.cpp
+++ b/src/tools/control/feedserver.cpp
@@ -1,6 +1,7 @@
 #include "feedserver.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/zmqpoll.h"
 
 #include <glog/logging.h>
 #include <zmq_addon.hpp>
@@ -69,7 +70,7 @@
 {
   while (!mStopping) {
     zmq::pollitem_t items[] = { { mSocket.handle(), 0, ZMQ_POLLIN, 0 } };
-    zmq::poll(items, 1, mPendingPulls.empty() ? kIdleInterval : kPendingPullInterval);
+    Base::PollSockets(items, 1, mPendingPulls.empty() ? kIdleInterval : kPendingPullInterval);
     if ((items[0].revents & ZMQ_POLLIN) != 0) {
       Receive();
     }
--- a/tests/auto/fleet/tst_poller.cpp
+++ b/tests/auto/fleet/tst_poller.cpp
@@ -32,6 +32,42 @@
   return { kLoopback, acceptor.local_endpoint().port() };
 }
 
+/// Sends signals that interrupt the calls of other threads.
+struct SignalSender
+{
+  SignalSender()
+  {
+    struct sigaction handled
+    {};
+    handled.sa_handler = [](int) {};
+    sigaction(SIGUSR1, &handled, &mPrevious);
+    sigemptyset(&mSignals);
+    sigaddset(&mSignals, SIGUSR1);
+  }
+  ~SignalSender()
+  {
+    sigaction(SIGUSR1, &mPrevious, nullptr);
+    pthread_sigmask(SIG_UNBLOCK, &mSignals, nullptr);
+  }
+  SignalSender(const SignalSender&) = delete;
+  SignalSender& operator=(const SignalSender&) = delete;
+
+  /// Threads that were started before take the signals; this one does not.
+  void Send() const
+  {
+    constexpr int kSignals = 50;
+    pthread_sigmask(SIG_BLOCK, &mSignals, nullptr);
+    for (int i = 0; i < kSignals; ++i) {
+      kill(getpid(), SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    }
+  }
+
+  struct sigaction mPrevious
+  {};
+  sigset_t mSignals{};
+};
+
 } // namespace
 
 // A poller and a poll server over loopback.
@@ -120,6 +156,26 @@
   poller.Stop();
 }
 
+// Guards against a signal that interrupts the server's thread and ends the process, for example
+// when the process continues after it was stopped.
+TEST(Poller, InterruptedServerContinues)
+{
+  const Base::Endpoint listen = FreeLoopbackEndpoint();
+  Fleet::PollServer server(mService, listen);
+  const SignalSender signals;
+  CHECK_TRUE(server.Start().ok());
+  signals.Send();
+  Fleet::PollerSettings settings;
+  settings.mPollPort = listen.mPort;
+  settings.mInterval = settings.mStartInterval = std::chrono::milliseconds(50);
+  Fleet::Poller poller(settings,
+                       [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
+  poller.SetSeeds({ Base::InstanceId(kLoopback) });
+  poller.Start();
+  CHECK_TRUE(WaitUntil([this] { return mReplies > 0; }));
+  poller.Stop();
+}
+
 // Guards against a signal that interrupts the poller's thread and ends the process, for example
 // when the process continues after it was stopped.
 TEST(Poller, InterruptedCallsAreRepeated)
@@ -131,29 +187,13 @@
   Fleet::Poller poller(settings,
                        [this](const Fleet::PollEvent& aEvent) { HandlePollEvent(aEvent); });
   poller.SetSeeds({ Base::InstanceId(kLoopback) });
-  struct sigaction handled
-  {};
-  handled.sa_handler = [](int) {};
-  struct sigaction previous
-  {};
-  sigaction(SIGUSR1, &handled, &previous);
+  const SignalSender signals;
   poller.Start();
-  // The poller's thread is then the only one that takes the signal.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGUSR1);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  constexpr int kSignals = 50;
-  for (int i = 0; i < kSignals; ++i) {
-    kill(getpid(), SIGUSR1);
-    std::this_thread::sleep_for(std::chrono::milliseconds(3));
-  }
+  signals.Send();
   Fleet::PollServer server(mService, listen);
   CHECK_TRUE(server.Start().ok());
   CHECK_TRUE(WaitUntil([this] { return mReplies > 0; }));
   poller.Stop();
-  sigaction(SIGUSR1, &previous, nullptr);
-  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 // Guards against a control instance that stops replying and is not reported as lost, or is not
