Eject no upstream while its service has no room

After a loss of all power on deployment T, the entry instances ejected upstreams 668 times within a second (trial with logs): requests waited in the queues of upstreams and looked unanswered, while 2,683 opening packets were held for room. The other upstreams had to take the load of the ejected ones.

Held opening packets, or flows in the zone for all slots, now suppress new ejections of the service's upstreams for 2 s.

--- a/src/libs/steering/ejections.cpp
+++ b/src/libs/steering/ejections.cpp
@@ -34,6 +34,9 @@
 constexpr uint32_t kMaxDoublings = 3;
 /// An ejection this soon after the end of the previous one is longer than that.
 constexpr seconds kConsecutiveWindow{ 4 };
+/// Time after saturation in which no upstream is ejected. The counts from before have decayed to a
+/// quarter then.
+constexpr Base::Duration kSaturationWindow = 2 * kRequestCountHalfLife;
 /// Counts below this have no effect.
 constexpr double kMinCount = 0.05;
 
@@ -69,6 +72,9 @@
   double mOwnRequests = 0;
   double mRequests = 0;
   double mUnanswered = 0;
+  /// Flows with requests in progress, of this instance and its peers, and the slots for them.
+  uint64_t mFlows = 0;
+  uint64_t mSlots = 0;
 };
 
 using GroupKey = std::pair<std::string, std::string>;
@@ -141,6 +147,8 @@
                        load.mPeerUnanswered -
                        std::min(own.mKnownPeerUnanswered, load.mPeerUnanswered);
   aGroup.mOwnRequests += DecayedRequests(own, aNow);
+  aGroup.mFlows += uint64_t{ load.mOwnFlows } + load.mPeerFlows;
+  aGroup.mSlots += aUpstream.mUpstream.mSlots;
   aGroup.mMembers.push_back(member);
 }
 
@@ -255,9 +263,18 @@
   }
 }
 
+bool
+WasSaturated(const Outliers& aOutliers, const std::string& aService, Base::TimePoint aNow)
+{
+  const auto saturated = aOutliers.mSaturatedAt.find(aService);
+  return saturated != aOutliers.mSaturatedAt.end() && aNow - saturated->second < kSaturationWindow;
+}
+
+/// \param aMayEject is false if ejections only end or are continued.
 void
 UpdateGroup(Outliers& aOutliers,
             const Group& aGroup,
+            bool aMayEject,
             Base::TimePoint aNow,
             std::vector<OutlierChange>& aChanges)
 {
@@ -274,7 +291,7 @@
       found->second.mKnownPeerUnanswered =
         std::min(found->second.mKnownPeerUnanswered, member.mPeerUnanswered);
     }
-    if (IsOutlier(aGroup, member)) {
+    if (aMayEject && IsOutlier(aGroup, member)) {
       outliers.push_back(&member);
     }
   }
@@ -333,7 +350,12 @@
   }
   for (auto& [key, group] : groups) {
     EstimateRequests(group, aOutliers, aInstances, aNow);
-    UpdateGroup(aOutliers, group, aNow, changes);
+    // An instance with few flows may hold none although the zone has no room.
+    if (group.mFlows >= group.mSlots) {
+      RecordSaturation(aOutliers, key.first, aNow);
+    }
+    const bool mayEject = !WasSaturated(aOutliers, key.first, aNow);
+    UpdateGroup(aOutliers, group, mayEject, aNow, changes);
     if (HasRepeatableRoute(aRoutes, key.first)) {
       aOutliers.mRepeatableServices.insert(key.first);
     }
--- a/src/libs/steering/openings.cpp
+++ b/src/libs/steering/openings.cpp
@@ -170,6 +170,7 @@
     ApplyAssignment(aState, aSettings, aFlow, *aOutcome.mChoice.mUpstream, aNow);
   } else if (aOutcome.mDecision.mAction == Action::Hold) {
     aFlow.mHeld = true;
+    RecordSaturation(aState.mOutliers, aFlow.mService, aNow);
     Hold(aState.mOpeningsByService[aFlow.mService], std::move(aOutcome.mOpening));
   }
   return aOutcome.mDecision;
--- a/src/libs/steering/outliers.h
+++ b/src/libs/steering/outliers.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -68,6 +69,9 @@
   /// Services with ejected upstreams and a route whose requests can be repeated. Only flows of such
   /// routes are used as probes.
   std::set<std::string> mRepeatableServices;
+  /// When upstreams of each service last had no room. Bounded by the services of the
+  /// configurations since the start.
+  std::map<std::string, Base::TimePoint> mSaturatedAt;
   Base::TimePoint mLastSeenAt;
   /// Requests that began earlier do not count, because the instance was frozen.
   Base::TimePoint mCountsFrom;
@@ -115,6 +119,11 @@
                         Base::TimePoint aRequestAt,
                         Base::TimePoint aNow);
 
+/// Records that no upstream of the service has room for a flow. Requests that wait in the queues of
+/// upstreams look unanswered then, so no upstream is ejected until they are over.
+void
+RecordSaturation(Outliers& aOutliers, const std::string& aService, Base::TimePoint aNow);
+
 /// Records that a new flow goes to the upstream, which is a probe if its ejection has ended.
 void
 RecordAssignment(Outliers& aOutliers, Directory::RouteTag aTag, Base::TimePoint aNow);
--- a/tests/auto/steering/tst_ejections.cpp
+++ b/tests/auto/steering/tst_ejections.cpp
@@ -111,6 +111,31 @@
 
 TEST_GROUP(Ejections), EjectionsFixture{};
 
+// Guards against ejections after a common restart or in a flood, when requests wait in the queues
+// of upstreams: the rest would have to take the load of the ejected ones as well.
+TEST(Ejections, SaturatedServiceEjectsNone)
+{
+  AddUpstreams(6);
+  for (const bool isHeldHere : { true, false }) {
+    Record(1, 0, 5);
+    if (isHeldHere) {
+      Steering::RecordSaturation(mState.mOutliers, "desk", mNow);
+    } else {
+      for (uint64_t id = 1; id <= 6; ++id) {
+        mState.mLoads.mByTag[Tag(id)].mPeerFlows = mSlots;
+      }
+    }
+    LONGS_EQUAL(0, Update().size());
+    for (uint64_t id = 1; id <= 6; ++id) {
+      mState.mLoads.mByTag[Tag(id)].mPeerFlows = 0;
+    }
+    LONGS_EQUAL(0, Advance(milliseconds(1900)).size());
+  }
+  Record(1, 0, 5);
+  Advance(milliseconds(200));
+  LONGS_EQUAL(1, Steering::CountEjected(mState.mOutliers));
+}
+
 // Guards against thresholds that are off by one: two lost requests are enough, one is not.
 TEST(Ejections, TwoUnansweredRequestsAreEnough)
 {
