Keep closed and pinned flows out of the flow cache, and other findings

* The last packet of a caller after the end of its flow put the flow into the cache again.
Only packets with data do now, and none of pinned flows.
* The explanation of a flow did not consider the cache.
* Sums of flows over a zone exceeded 32 bits, so that a full zone counted as having room.
* The update of outliers passed over the whole directory every 100 ms.
It uses the index of upstreams.
* The limit of a third of the upstreams had no test that binds.

tst_flowcache and tst_ejections have the cases that a test can show.

--- a/src/libs/fleet/explanationjson.cpp
+++ b/src/libs/fleet/explanationjson.cpp
@@ -76,6 +76,7 @@
              { "record", known.mHasRecord },
              { "confirmed", known.mIsConfirmed },
              { "held", known.mIsHeld },
+             { "cached", known.mIsCached },
              { "pin", nullptr },
              { "tag", nullptr } };
   if (known.mPinnedTag.has_value()) {
--- a/src/libs/steering/candidates.cpp
+++ b/src/libs/steering/candidates.cpp
@@ -67,8 +67,8 @@
   (local ? aCandidates.mLocal : aCandidates.mRemote).push_back(aCandidate);
   PlaceLoad& place = local ? aCandidates.mLocalLoad : aCandidates.mRemoteLoad;
   place.mSlots = Saturate(uint64_t{ place.mSlots } + described.mSlots);
-  place.mOwnFlows += aCandidate.mLoad->mOwnFlows;
-  place.mPeerFlows += aCandidate.mLoad->mPeerFlows;
+  place.mOwnFlows = Saturate(uint64_t{ place.mOwnFlows } + aCandidate.mLoad->mOwnFlows);
+  place.mPeerFlows = Saturate(uint64_t{ place.mPeerFlows } + aCandidate.mLoad->mPeerFlows);
 }
 
 CandidateGroups
@@ -94,7 +94,7 @@
 double
 ExpectedPeerFlowsPerSlot(const ChoiceInput& aInput, const PlaceLoad& aLocal)
 {
-  if (aLocal.mOwnFlows + aLocal.mPeerFlows < aLocal.mSlots || aLocal.mSlots == 0) {
+  if (uint64_t{ aLocal.mOwnFlows } + aLocal.mPeerFlows < aLocal.mSlots || aLocal.mSlots == 0) {
     return 0;
   }
   return (1 - aInput.mReportWeight) * aLocal.mPeerFlows / aLocal.mSlots;
--- a/src/libs/steering/ejections.cpp
+++ b/src/libs/steering/ejections.cpp
@@ -16,8 +16,9 @@
 /// A caller cannot repeat a lost non-idempotent request, so two are enough. One is not, because
 /// about 0.2% of the requests appear unanswered without a fault.
 constexpr uint32_t kMinUnanswered = 2;
+/// Minimum share of the counted requests.
 constexpr double kMinShare = 0.3;
-/// Share in the estimated requests of all instances. Peers report answered requests only of
+/// Minimum share of the estimated requests of all instances. Peers report answered requests only of
 /// upstreams with unanswered ones, so a few requests that appear unanswered at different instances
 /// are a large share of the counted ones.
 constexpr double kMinEstimatedShare = 0.2;
@@ -32,7 +33,8 @@
 constexpr milliseconds kFirstEjection{ 1000 };
 constexpr milliseconds kMaxEjection{ 8000 };
 constexpr uint32_t kMaxDoublings = 3;
-/// An ejection this soon after the end of the previous one is longer than that.
+/// An ejection that begins within this time after the end of the previous one counts as
+/// consecutive, and lasts twice as long, up to kMaxEjection.
 constexpr seconds kConsecutiveWindow{ 4 };
 /// Time after saturation in which no upstream is ejected. The counts from before have decayed to a
 /// quarter then.
@@ -340,15 +342,11 @@
   if (groups.empty()) {
     return changes;
   }
-  for (const auto& [tag, upstream] : aDirectory.mByTag) {
-    const auto group = upstream.mUpstream.mState == Directory::State::Ready
-                         ? groups.find(KeyOf(upstream))
-                         : groups.end();
-    if (group != groups.end()) {
-      AddMember(group->second, aOutliers, aLoads, upstream, aNow);
-    }
-  }
   for (auto& [key, group] : groups) {
+    const auto& upstreams = Directory::UpstreamsIn(aDirectory, key.first, key.second);
+    for (const Directory::MergedUpstream* upstream : upstreams.mReady) {
+      AddMember(group, aOutliers, aLoads, *upstream, aNow);
+    }
     EstimateRequests(group, aOutliers, aInstances, aNow);
     // An instance with few flows may hold none although the zone has no room.
     if (group.mFlows >= group.mSlots) {
--- a/src/libs/steering/explanation.cpp
+++ b/src/libs/steering/explanation.cpp
@@ -41,6 +41,11 @@
   Packet packet;
   packet.mFlow = aFlow;
   packet.mKind = PacketKind::MidFlow;
+  const auto cached = aState.mFlowCache.mByFlow.find(aFlow);
+  if (cached != aState.mFlowCache.mByFlow.end()) {
+    known.mIsCached = true;
+    packet.mSequence = cached->second.mFirstSequence;
+  }
   if (pin != aState.mPins.mByFlow.end()) {
     packet.mSequence = pin->second.mSequence;
   }
@@ -196,8 +201,8 @@
   return service;
 }
 
-/// \return the record of a flow whose opening packet a copy would be a repetition of, or nullptr if
-/// an opening packet begins a new flow.
+/// \return the record of a flow that is not open yet, so that an opening packet counts as a copy,
+/// or nullptr if an opening packet begins a new flow.
 const Flow*
 UnconfirmedRecordOf(const State& aState, const FlowKey& aFlow)
 {
--- a/src/libs/steering/explanation.h
+++ b/src/libs/steering/explanation.h
@@ -19,6 +19,8 @@
   /// True if the opening packet waits for room.
   bool mIsHeld = false;
   std::optional<Directory::RouteTag> mPinnedTag;
+  /// True if the instance has kept the upstream of the flow without a record.
+  bool mIsCached = false;
   /// Tag of the upstream that the flow's packets go to, or 0 if their own tag decides.
   Directory::RouteTag mTag;
   /// The upstream of mTag, or std::nullopt if it is not in the directory.
--- a/src/libs/steering/steering.cpp
+++ b/src/libs/steering/steering.cpp
@@ -119,8 +119,10 @@
   if (IsLastOfCaller(aPacket)) {
     MarkClosing(aState.mPins, aPacket.mFlow);
     RemoveCached(aState.mFlowCache, aPacket.mFlow);
-  } else if (aState.mFlows.mFlows.count(aPacket.mFlow) == 0 &&
+  } else if (aPacket.mCarriesData && aState.mFlows.mFlows.count(aPacket.mFlow) == 0 &&
+             !PinnedTag(aState.mPins, aPacket.mFlow, aPacket.mSequence).has_value() &&
              Directory::Find(aState.mDirectory, aTag) != nullptr) {
+    // Packets without data may follow the end of a flow.
     CacheForeignFlow(aState.mFlowCache, aPacket.mFlow, aPacket.mSequence, aTag, aNow);
   }
 }
--- a/src/tools/lwctl/explaintable.cpp
+++ b/src/tools/lwctl/explaintable.cpp
@@ -105,11 +105,12 @@
 {
   std::string line = absl::StrCat("flow      ", Text(aFlow, "caller"), ">", Text(aFlow, "service"));
   const bool pinned = !Member(aFlow, "pin").is_null();
-  if (!IsTrue(aFlow, "record") && !pinned) {
+  if (!IsTrue(aFlow, "record") && !IsTrue(aFlow, "cached") && !pinned) {
     return line + ", not known here\n";
   }
   absl::StrAppend(&line,
                   IsTrue(aFlow, "record") ? ", record" : "",
+                  IsTrue(aFlow, "cached") ? ", cached" : "",
                   IsTrue(aFlow, "confirmed") ? ", open" : "",
                   IsTrue(aFlow, "held") ? ", held" : "",
                   pinned ? ", pinned" : "",
--- a/tests/auto/steering/tst_ejections.cpp
+++ b/tests/auto/steering/tst_ejections.cpp
@@ -163,6 +163,17 @@
   LONGS_EQUAL(5, OpenFlows(1, 5));
 }
 
+// Guards against faults of many upstreams that take all of them out of the choice.
+TEST(Ejections, AtMostAThirdIsEjected)
+{
+  AddUpstreams(9);
+  for (uint64_t id = 1; id <= 9; ++id) {
+    Record(id, id <= 4 ? 0 : 100, id <= 4 ? 10 : 0);
+  }
+  LONGS_EQUAL(3, Update().size());
+  LONGS_EQUAL(3, Steering::CountEjected(mState.mOutliers));
+}
+
 // Guards against an ejection that takes the only upstream that holds an open flow from the flow.
 TEST(Ejections, OpenFlowsStay)
 {
--- a/tests/auto/steering/tst_flowcache.cpp
+++ b/tests/auto/steering/tst_flowcache.cpp
@@ -104,6 +104,9 @@
   pin->set_tag(holder.mValue);
   Steering::ApplyPins(mSecond.mState.mPins, report, mSecond.mNow);
   CHECK_TRUE(Send(mSecond, other) == holder);
+  Steering::ApplyPins(mFirst.mState.mPins, report, mFirst.mNow);
+  CHECK_TRUE(Send(mFirst, other) == holder);
+  CHECK_TRUE(mFirst.mState.mFlowCache.mByFlow.empty());
 }
 
 // Guards against a cache that keeps flows of one request, which are many and never come back.
@@ -113,6 +116,9 @@
   mFirst.Send(kCallerPort, PacketKind::Closing, tag);
   Send(mSecond, tag);
   mSecond.Send(kCallerPort, PacketKind::Closing, tag);
+  for (SteeringFixture* entry : { &mFirst, &mSecond }) {
+    entry->Send(kCallerPort, PacketKind::MidFlow, tag);
+  }
   Advance(kPause);
   CHECK_TRUE(mFirst.mState.mFlowCache.mByFlow.empty());
   CHECK_TRUE(mSecond.mState.mFlowCache.mByFlow.empty());
