--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -116,7 +116,7 @@
         self.settings = os.path.join(system.folder, name + ".json")
         self.write_settings(settings)
         self.process = None
-        self.ends = 0
+        self.in_rotation = True
 
     def write_settings(self, settings):
         self.content = settings
@@ -171,6 +171,8 @@
                 self.entries.append(self.make_entry(zone, f"127.{self.block}.{10 + position}.{i + 1}"))
         self.hosts, self.clients, self.tasks = [], [], []
         self.broken = []
+        # The host that holds each open flow, and the hosts that reset it, by the client's address and port.
+        self.holders, self.resetters = {}, {}
 
     def free_block(self):
         for _ in range(50):
@@ -256,6 +258,22 @@
             return None
         return json.loads(answer[1])
 
+    async def watch_rotation(self):
+        """The routers' readiness checks: an entry is out of rotation after two misses, until it responds with 200."""
+        misses = {entry: 0 for entry in self.entries}
+
+        async def check(entry):
+            answer = await call(f"{entry.ip}:{self.ready_port}", "GET", "/v1/readyz", timeout=0.4)
+            misses[entry] = 0 if answer and answer[0] == 200 else misses[entry] + 1
+            rotated = misses[entry] < 2 and (entry.in_rotation or misses[entry] == 0)
+            if rotated != entry.in_rotation:
+                self.record.add(f"{entry.name} is {'in' if rotated else 'out of'} rotation")
+            entry.in_rotation = rotated
+
+        while True:
+            await asyncio.gather(*(check(entry) for entry in self.entries))
+            await asyncio.sleep(0.5)
+
     async def wait_until_ready(self, limit=20.0):
         deadline = time.monotonic() + limit
         for entry in self.entries:
@@ -270,6 +288,7 @@
     async def close(self):
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for host in self.hosts:
             host.close()
         for client in self.clients:
@@ -329,7 +348,7 @@
                 return True
         return False
 
-    def datagram_received(self, data, sender):
+    def datagram_received(self, data, _sender):
         if int.from_bytes(data[:8], "big") not in (0, self.id):
             return
         packet, checksum = decode(data[8:])
@@ -338,15 +357,21 @@
             return
         flow = (packet.src, packet.sport, packet.dst, packet.dport)
         if packet.flags & SYN:
-            self.on_opening(packet, flow, sender)
+            self.on_opening(packet, flow)
             return
         if flow not in self.flows and self.handshakes.get(flow) == (packet.ack - 1) & 0xFFFFFFFF:
             self.flows[flow] = {"next": None, "answers": {}, "seq": packet.ack}
             self.handshakes.pop(flow)
-            self.system.record.add(f"flow of {to_dotted(packet.src)}:{packet.sport} open at host i-{self.id:08x}")
+            self.system.holders[flow[:2]] = self
+            self.system.record.add(f"flow of {to_dotted(packet.src)}:{packet.sport} open at host i-{self.id:08x} "
+                                   f"(echo {packet.echo:08x}, ack {packet.ack:08x}, {len(packet.data)} B)")
         if packet.flags & RST:
             self.flows.pop(flow, None)
         elif flow not in self.flows:
+            self.system.resetters.setdefault(flow[:2], []).append(self)
+            self.system.record.add(f"host i-{self.id:08x} resets {to_dotted(packet.src)}:{packet.sport}, no such flow "
+                                   f"(flags {packet.flags}, echo {packet.echo:08x}, ack {packet.ack:08x}, "
+                                   f"{len(packet.data)} B; its own seq {self.handshakes.get(flow, 0):08x})")
             self.send(packet, RST, packet.ack)
         elif packet.data:
             asyncio.get_running_loop().create_task(self.run(packet, flow))
@@ -354,14 +379,13 @@
             del self.flows[flow]
             self.send(packet, FIN | ACK, packet.ack)
 
-    def on_opening(self, packet, flow, sender):
+    def on_opening(self, packet, flow):
         if flow not in self.handshakes:
             self.handshakes[flow] = random.getrandbits(31)
-        self.on_opened(packet, sender)
-        self.send(packet, SYN | ACK, self.handshakes[flow])
+        self.send_handshake(packet, flow)
 
-    def on_opened(self, packet, sender):
-        """For cases that check opening packets."""
+    def send_handshake(self, packet, flow):
+        self.send(packet, SYN | ACK, self.handshakes[flow])
 
     async def run(self, packet, flow):
         state = self.flows[flow]
@@ -426,12 +450,17 @@
         elif packet.flags & RST:
             flow["reset_by"] = "a host"
         flow["echo"] = packet.echo if checksum else flow["echo"]
+        if packet.flags & SYN and not flow["open"] and flow["reset_by"] is None:
+            flow["open"] = True
+            flow["peer_seq"] = packet.seq + 1
+            flow["seq"] += 1
+            self.transmit(packet.dport, flow["route"], flow, ACK, flow["seq"], flow["peer_seq"])
         flow["inbox"].put_nowait(packet)
 
     def entry_for(self, port):
-        entries = [entry for entry in self.system.entries if entry.zone == self.zone and entry.process is not None]
-        entries = entries or [entry for entry in self.system.entries if entry.process is not None]
-        return entries[zlib.crc32(f"{self.ip}:{port}".encode()) % len(entries)]
+        entries = [entry for entry in self.system.entries if entry.zone == self.zone and entry.in_rotation]
+        entries = entries or [entry for entry in self.system.entries if entry.in_rotation] or self.system.entries
+        return max(entries, key=lambda entry: zlib.crc32(f"{entry.ip} {self.ip}:{port}".encode()))
 
     def transmit(self, port, route, flow, flags, seq, ack, data=b""):
         flow["last_ack"] = ack
@@ -444,9 +473,11 @@
         self.next_port += 1
         port = self.next_port
         flow = {"inbox": asyncio.Queue(), "echo": 0, "open": False, "reset_by": None, "last_ack": 0,
-                "seq": random.getrandbits(30)}
+                "route": route, "seq": random.getrandbits(30)}
         self.flows[port] = flow
         for number, wait in enumerate((0.2, 0.4, 0.8)):
+            if flow["open"]:
+                return port, flow
             self.transmit(port, route, flow, SYN, flow["seq"], number)
             deadline = time.monotonic() + wait
             while (left := deadline - time.monotonic()) > 0:
@@ -454,15 +485,13 @@
                     packet = await asyncio.wait_for(flow["inbox"].get(), left)
                 except asyncio.TimeoutError:
                     break
-                if packet.flags & RST:
+                if packet.flags & RST and not flow["open"]:
                     del self.flows[port]
                     return "reset"
-                if packet.flags & SYN:
-                    flow["peer_seq"] = packet.seq + 1
-                    flow["seq"] += 1
-                    flow["open"] = True
-                    self.transmit(port, route, flow, ACK, flow["seq"], flow["peer_seq"])
+                if flow["open"]:
                     return port, flow
+        if flow["open"]:
+            return port, flow
         del self.flows[port]
         return "no answer"
 
