--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -518,7 +518,7 @@
         self.flows.pop(port, None)
 
 
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.198.0.1", 8443)
 
 
 def make_config(version, services, routes):
