--- a/review/7/case.py
+++ b/review/7/case.py
@@ -93,4 +93,4 @@
         system.break_rule("CONFIG: an invalid configuration is in force: new flows on the route are reset")
 
 
-run_case(FOLDER, case)
+run_case(case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -120,4 +120,4 @@
         system.record.add(f"client {client.ip}: {client.counts}")
 
 
-run_case(FOLDER, case, zones=("apapa", "ikeja", "lekki"), entries_per_zone=1 if PLANNED else 2)
+run_case(case, zones=("apapa", "ikeja", "lekki"), entries_per_zone=1 if PLANNED else 2)
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -94,10 +94,10 @@
 
 
 class Record:
-    """record.txt of a case: what was sent, answered and run, with the time in seconds."""
+    """Record of a case: what was sent, answered and run, with the time in seconds."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
 
     def now(self):
@@ -153,8 +153,8 @@
 class System:
     """Control machines, entry machines, hosts, clients and the operator of one run."""
 
-    def __init__(self, folder, zones=("zone-a", "zone-b", "zone-c"), controls=3, entries_per_zone=1, losses=1):
-        self.record = Record(folder)
+    def __init__(self, record, zones=("zone-a", "zone-b", "zone-c"), controls=3, entries_per_zone=1, losses=1):
+        self.record = Record(record)
         self.temporary = tempfile.TemporaryDirectory(prefix="lw-review-")
         self.folder = self.temporary.name
         self.zones, self.losses = zones, losses
@@ -535,11 +535,14 @@
     }
 
 
-def run_case(folder, case, **arguments):
-    """Runs the coroutine case(system, trouble) and ends the process with the exit code of the case."""
+def run_case(case, **arguments):
+    """Runs the coroutine case(system, trouble) and ends the process with the exit code of the case.
+
+    The first argument of the program is the path of the record.
+    """
 
     async def run():
-        system = System(folder, **arguments)
+        system = System(sys.argv[1], **arguments)
         try:
             await system.start()
             await case(system, os.environ.get("TROUBLE", "1") != "0")
